--- /dev/null
+++ b/internal/conductor/conductor.go
@@ -0,0 +1,391 @@
+// Package conductor runs the decisions of one VM: as an entry those of the
+// forwarder, as a state VM those of the holder and of the configuration. One
+// goroutine decides; around it a goroutine for each duty.
+package conductor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"github.com/thejerf/suture/v4"
+
+	"bronzedrift.example/bronzedrift/internal/configurer"
+	"bronzedrift.example/bronzedrift/internal/forwarder"
+	"bronzedrift.example/bronzedrift/internal/holder"
+	"bronzedrift.example/bronzedrift/internal/keeper"
+	"bronzedrift.example/bronzedrift/internal/messenger"
+	"bronzedrift.example/bronzedrift/internal/messenger/wire"
+	"bronzedrift.example/bronzedrift/internal/recorder"
+	"bronzedrift.example/bronzedrift/internal/replicator"
+	"bronzedrift.example/bronzedrift/internal/storer"
+	"bronzedrift.example/bronzedrift/internal/tracker"
+)
+
+// Config is what a Conductor is told at its start.
+type Config struct {
+	// Name is the VM's name in logs.
+	Name       string
+	DataCentre string
+	// Inner is the address of the inner protocol, which names the VM to others.
+	Inner netip.AddrPort
+	// Seeds are inner addresses of state VMs, which may be out of date.
+	Seeds []netip.AddrPort
+	// IsState says that the VM keeps the configuration and holds upstreams.
+	IsState bool
+	// IsFounding says that the seeds begin the group of state VMs together.
+	IsFounding bool
+	// Tolerated is how many state VMs may be lost at the same time.
+	Tolerated  int
+	DataFolder string
+	Timing     holder.Timing
+}
+
+// Handlers are what a Conductor calls.
+type Handlers struct {
+	// CallUpstream carries out an order; it blocks until the answer or timeout.
+	CallUpstream func(ctx context.Context, c holder.Call) holder.CallResult
+	// Apply puts a version of the configuration in force on this VM.
+	Apply func(configurer.Configuration)
+}
+
+// Conductor is one running VM.
+type Conductor struct {
+	config      Config
+	handlers    Handlers
+	log         zerolog.Logger
+	now         func() time.Time
+	incarnation string
+	messenger   *messenger.Messenger
+	keeper      *keeper.Keeper
+	ring        *recorder.Ring
+	peers       *tracker.Tracker
+	holder      *holder.Holder
+	forwarder   *forwarder.Forwarder
+	inputs      chan func(now time.Time)
+	done        chan struct{}
+	ctx         context.Context
+	version     atomic.Uint64
+	stateVMs    atomic.Pointer[[]string]
+	ready       atomic.Bool
+	idle        atomic.Bool
+	leaving     bool
+	startedAt   time.Time
+	lastAt      time.Time
+	beatAt      time.Time
+	forgetAt    time.Time
+	sessions    map[uint64]*session
+	closedTo    uint64
+	waiters     map[uint64]chan forwarder.Verdict
+	waiter      uint64
+	holderOut   holder.Effects
+	forwardOut  forwarder.Effects
+	metrics     metrics
+}
+
+// session is what is known of one inbound session's delay.
+type session struct {
+	offset time.Duration
+	usedAt time.Time
+}
+
+const (
+	inputRing = 16_384
+	linkRing  = 16_384
+	tickEvery = 20 * time.Millisecond
+	// stallGap is the standstill after which a holder does not trust what it has
+	// promised; shorter ones occur on a busy VM.
+	stallGap = 300 * time.Millisecond
+	// lateOrder is the delay on the way after which an order is not taken: its
+	// entry may have given it to another holder.
+	lateOrder = 300 * time.Millisecond
+	// linkHeartbeat and linkSilence replace a link that swallows what is sent.
+	linkHeartbeat = 250 * time.Millisecond
+	linkSilence   = 350 * time.Millisecond
+	forgetEvery   = time.Second
+	eventRing     = 512
+	failureDecay  = 30
+)
+
+// tokenEpoch is the beginning of the time in which fencing tokens count.
+var tokenEpoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// New builds a Conductor. Its inner listener is open when New returns.
+func New(c Config, h Handlers, now func() time.Time, log zerolog.Logger) (*Conductor, error) {
+	self := c.Inner.String()
+	d := &Conductor{
+		config: c, handlers: h, log: log, now: now, incarnation: uuid.NewString(),
+		ring: recorder.New(c.Name, eventRing), peers: tracker.New(self),
+		inputs: make(chan func(time.Time), inputRing), done: make(chan struct{}),
+		sessions: map[uint64]*session{}, waiters: map[uint64]chan forwarder.Verdict{}, metrics: newMetrics(),
+	}
+	d.startedAt = now()
+	d.lastAt = d.startedAt
+	d.holder = holder.New(d.startedAt, holder.Config{VM: self, DataCentre: c.DataCentre, Timing: c.Timing, TokenEpoch: tokenEpoch})
+	d.forwarder = forwarder.New(c.DataCentre, c.Timing, d.peers)
+	d.stateVMs.Store(&[]string{})
+	if err := d.openMessenger(); err != nil {
+		return nil, err
+	}
+	if err := d.openKeeper(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Conductor) openMessenger() error {
+	var peers []messenger.Peer
+	for _, s := range d.config.Seeds {
+		peers = append(peers, messenger.Peer{VM: s.String(), Inner: s})
+	}
+	m, err := messenger.New(messenger.Config{
+		VM: d.config.Inner.String(), DataCentre: d.config.DataCentre, Listen: d.config.Inner, Peers: peers,
+		RingSize: linkRing, AdmitsAll: true, Heartbeat: linkHeartbeat, Silence: linkSilence,
+	}, messenger.Handlers{
+		Log:      d.receiveState,
+		Relay:    d.receive,
+		PeerUp:   d.peerUp,
+		PeerLost: func(vm string) { d.event(recorder.Event{Number: recorder.LinkLost, Peer: vm, Task: recorder.NoTask}) },
+		Event:    d.event,
+		Clock:    d.ring.Clock,
+		Observe:  func(c recorder.Clock) { d.ring.Observe(d.now(), c) },
+	})
+	if err != nil {
+		return fmt.Errorf("conductor: %w", err)
+	}
+	d.messenger = m
+	return nil
+}
+
+func (d *Conductor) openKeeper() error {
+	c := keeper.Config{
+		VM: d.config.Inner.String(), Timing: replicator.DefaultTiming(), Seed: rand.Uint64(), Now: d.now,
+		StateVMs: func() []string { return *d.stateVMs.Load() }, Voters: 2*d.config.Tolerated + 1,
+	}
+	if d.config.IsState {
+		disk, err := storer.NewFolder(d.config.DataFolder)
+		if err != nil {
+			return fmt.Errorf("conductor: %w", err)
+		}
+		c.Disk = disk
+	}
+	if d.config.IsFounding {
+		for _, s := range d.config.Seeds {
+			c.Founders = append(c.Founders, s.String())
+		}
+	}
+	k, err := keeper.New(c, keeper.Handlers{
+		Send: d.sendState, Spread: d.spreadState, Apply: d.apply, Event: d.event,
+	})
+	if err != nil {
+		return fmt.Errorf("conductor: %w", err)
+	}
+	d.keeper = k
+	return nil
+}
+
+// Run runs the VM until the context ends.
+func (d *Conductor) Run(ctx context.Context) error {
+	defer close(d.done)
+	d.ctx = ctx
+	supervisor := suture.New("conductor", suture.Spec{
+		EventHook: d.supervised, FailureDecay: failureDecay, PassThroughPanics: true,
+	})
+	supervisor.Add(duty{"decisions", d.decide})
+	supervisor.Add(duty{"messenger", d.messenger.Serve})
+	supervisor.Add(duty{"keeper", d.keeper.Serve})
+	d.event(recorder.Event{Number: recorder.DaemonStarted, Task: recorder.NoTask})
+	err := supervisor.Serve(ctx)
+	d.event(recorder.Event{Number: recorder.DaemonStopped, Task: recorder.NoTask})
+	if err != nil && !errors.Is(err, context.Canceled) {
+		return fmt.Errorf("conductor: %w", err)
+	}
+	return nil
+}
+
+// duty is one supervised goroutine.
+type duty struct {
+	name  string
+	serve func(ctx context.Context) error
+}
+
+// Serve is called by the supervisor.
+func (u duty) Serve(ctx context.Context) error { return u.serve(ctx) }
+
+// String names the duty in events.
+func (u duty) String() string { return u.name }
+
+func (d *Conductor) supervised(e suture.Event) {
+	if e.Type() == suture.EventTypeServiceTerminate || e.Type() == suture.EventTypeServicePanic {
+		d.event(recorder.Event{Number: recorder.DutyRestarted, Text: e.String(), Task: recorder.NoTask})
+	}
+}
+
+// decide is the goroutine of the decisions: it alone touches them.
+func (d *Conductor) decide(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		var input func(time.Time)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case input = <-d.inputs:
+		case <-ticker.C:
+			input = d.tick
+		}
+		now := d.now()
+		d.checkStall(now)
+		input(now)
+		d.carryOut(now)
+	}
+}
+
+// checkStall gives up what a holder cannot answer for after a standstill.
+func (d *Conductor) checkStall(now time.Time) {
+	gap := now.Sub(d.lastAt)
+	d.lastAt = now
+	if gap < stallGap || !d.config.IsState {
+		return
+	}
+	for number := range d.sessions {
+		d.closedTo = max(d.closedTo, number)
+	}
+	d.sessions = map[uint64]*session{}
+	d.messenger.CloseInbound()
+	d.holder.Stall(now, gap, &d.holderOut)
+}
+
+func (d *Conductor) tick(now time.Time) {
+	if d.config.IsState {
+		d.holder.SetPeers(d.holders(now))
+		d.holder.Tick(now, &d.holderOut)
+	} else {
+		d.forwarder.Tick(now, &d.forwardOut)
+	}
+	if now.Sub(d.beatAt) >= tracker.HeartbeatEvery {
+		d.beatAt = now
+		d.beat(now)
+	}
+	if now.Sub(d.forgetAt) >= forgetEvery {
+		d.forgetAt = now
+		d.forget(now)
+	}
+	d.ready.Store(d.isReady(now))
+	d.idle.Store(d.isIdle())
+}
+
+func (d *Conductor) isIdle() bool {
+	if d.config.IsState {
+		return d.holder.IsIdle()
+	}
+	return d.forwarder.Count() == 0
+}
+
+// isReady reports whether callers are served here: a configuration is in force
+// and a holder with upstreams is within reach.
+func (d *Conductor) isReady(now time.Time) bool {
+	if d.leaving || d.version.Load() == 0 {
+		return false
+	}
+	for _, p := range d.peers.Heard(now) {
+		if p.IsState && p.Load.TotalMilliCores > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// holders returns the VMs that can hold upstreams, this one included.
+func (d *Conductor) holders(now time.Time) []holder.Peer {
+	list := d.peers.Holders(now)
+	if !d.leaving {
+		list = append(list, holder.Peer{VM: d.config.Inner.String(), DataCentre: d.config.DataCentre})
+	}
+	return list
+}
+
+func (d *Conductor) isSettled(now time.Time) bool {
+	return now.Sub(d.startedAt) >= d.config.Timing.Settle
+}
+
+// beat tells all peers that this VM is alive, and what it offers.
+func (d *Conductor) beat(now time.Time) {
+	h := tracker.Heartbeat{
+		DataCentre: d.config.DataCentre, IsState: d.config.IsState, IsLeaving: d.leaving, IsReady: d.isSettled(now),
+		Configuration: d.version.Load(), Neighbours: d.peers.Neighbours(now),
+	}
+	if d.config.IsState {
+		h.Load = d.holder.Load(now)
+	}
+	pulse := encodeHeartbeat(&h)
+	for _, vm := range d.peers.Known() {
+		d.send(now, vm, &wire.Relay{Body: &wire.Relay_Pulse{Pulse: pulse}})
+	}
+	for _, s := range d.config.Seeds {
+		if d.peers.Peer(s.String()) == nil {
+			d.send(now, s.String(), &wire.Relay{Body: &wire.Relay_Pulse{Pulse: pulse}})
+		}
+	}
+}
+
+func (d *Conductor) forget(now time.Time) {
+	for _, vm := range d.peers.Forget(now) {
+		if !d.isSeed(vm) {
+			d.messenger.RemovePeer(vm)
+		}
+	}
+	for number, s := range d.sessions {
+		if now.Sub(s.usedAt) > forgetAfter {
+			delete(d.sessions, number)
+		}
+	}
+	d.publishStateVMs()
+}
+
+// forgetAfter is the silence after which an inbound session is forgotten.
+const forgetAfter = time.Minute
+
+func (d *Conductor) isSeed(vm string) bool {
+	for _, s := range d.config.Seeds {
+		if s.String() == vm {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Conductor) publishStateVMs() {
+	list := d.peers.StateVMs()
+	for _, s := range d.config.Seeds {
+		if d.peers.Peer(s.String()) == nil && s != d.config.Inner {
+			list = append(list, s.String())
+		}
+	}
+	d.stateVMs.Store(&list)
+}
+
+func (d *Conductor) send(now time.Time, to string, r *wire.Relay) {
+	if to == d.config.Inner.String() {
+		return
+	}
+	r.SentAt = now.UnixNano()
+	r.Incarnation = d.incarnation
+	d.messenger.SendRelay(to, r)
+}
+
+// put hands an input to the decisions and waits while their ring is full.
+func (d *Conductor) put(input func(now time.Time)) bool {
+	select {
+	case d.inputs <- input:
+		return true
+	case <-d.done:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/conductor/decoder.go
@@ -0,0 +1,99 @@
+package conductor
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"bronzedrift.example/bronzedrift/internal/forwarder"
+	"bronzedrift.example/bronzedrift/internal/holder"
+	"bronzedrift.example/bronzedrift/internal/messenger/wire"
+	"bronzedrift.example/bronzedrift/internal/tracker"
+)
+
+// ErrMessage says that a message of another VM makes no sense.
+var ErrMessage = errors.New("conductor: invalid message")
+
+func decodeHeartbeat(vm, incarnation string, w *wire.Pulse) tracker.Heartbeat {
+	h := tracker.Heartbeat{
+		VM: vm, Incarnation: incarnation, DataCentre: w.GetDataCentre(), IsState: w.GetIsState(),
+		IsLeaving: w.GetLeaving(), IsReady: w.GetReady(), Configuration: w.GetConfiguration(),
+	}
+	for _, n := range w.GetNeighbours() {
+		h.Neighbours = append(h.Neighbours, tracker.Neighbour{
+			VM: n.GetVm(), Incarnation: n.GetIncarnation(), DataCentre: n.GetDataCentre(),
+			HeardAgo: time.Duration(n.GetHeardAgo()), IsLeaving: n.GetLeaving(),
+		})
+	}
+	if l := w.GetLoad(); l != nil {
+		h.Load = holder.Load{
+			FreeMilliCores: l.GetFreeMilliCores(), TotalMilliCores: l.GetTotalMilliCores(),
+			Backlog: time.Duration(l.GetBacklog()), Racks: l.GetRacks(), Pending: map[string]int{},
+		}
+		for route, n := range l.GetPending() {
+			h.Load.Pending[route] = int(n)
+		}
+	}
+	return h
+}
+
+func decodeOrder(w *wire.JobOrder) (holder.Order, error) {
+	o := holder.Order{
+		ID: w.GetId(), Request: w.GetRequest(), Attempt: int(w.GetAttempt()), Route: w.GetRoute(), Service: w.GetService(),
+		Spec: w.GetSpec(), MaxAttempts: int(w.GetMaxAttempts()), Objective: time.Duration(w.GetObjective()),
+		Remaining: time.Duration(w.GetRemaining()), Priority: int(w.GetPriority()), AcceptLate: w.GetAcceptLate(),
+	}
+	for i, s := range w.GetSteps() {
+		step := holder.Step{
+			Count:    int(s.GetCount()),
+			Needs:    holder.Capacity{MilliCores: s.GetMilliCores(), MemoryMB: s.GetMemoryMb(), Accelerators: s.GetAccelerators()},
+			Estimate: time.Duration(s.GetEstimate()), Label: s.GetLabel(), DataRack: s.GetDataRack(), PerUpstream: int(s.GetPerUpstream()),
+		}
+		for _, a := range s.GetAfter() {
+			if int(a) >= i {
+				return o, fmt.Errorf("%w: step %d comes after step %d", ErrMessage, i, a)
+			}
+			step.After = append(step.After, int(a))
+		}
+		o.Steps = append(o.Steps, step)
+	}
+	if o.ID == "" || len(o.Steps) == 0 {
+		return o, fmt.Errorf("%w: an order without id or steps", ErrMessage)
+	}
+	return o, nil
+}
+
+func decodeAnswer(w *wire.JobAnswer) holder.Answer {
+	return holder.Answer{
+		ID: w.GetId(), Attempt: int(w.GetAttempt()), Outcome: holder.Outcome(w.GetOutcome()),
+		Started: w.GetStarted(), Wait: time.Duration(w.GetWait()), Reason: w.GetReason(),
+	}
+}
+
+func decodeCancel(w *wire.JobCancel) forwarder.Cancel {
+	return forwarder.Cancel{ID: w.GetId(), Everywhere: w.GetEverywhere()}
+}
+
+func decodeNotice(w *wire.UpstreamReport) (holder.Notice, error) {
+	address, err := netip.ParseAddrPort(w.GetAddress())
+	if err != nil {
+		return holder.Notice{}, fmt.Errorf("%w: upstream %q: %w", ErrMessage, w.GetId(), err)
+	}
+	return holder.Notice{
+		Upstream: holder.Upstream{
+			ID: w.GetId(), Service: w.GetService(), Address: address, DataCentre: w.GetDataCentre(), Rack: w.GetRack(),
+			Labels: w.GetLabels(), State: holder.State(w.GetState()), Born: decodeTime(w.GetBorn()), Sequence: w.GetSequence(),
+			Capacity: holder.Capacity{MilliCores: w.GetMilliCores(), MemoryMB: w.GetMemoryMb(), Accelerators: w.GetAccelerators()},
+			Clock:    time.Duration(w.GetClock()),
+		},
+		Holder: w.GetHolder(), Token: w.GetToken(),
+	}, nil
+}
+
+func decodeTime(nanos int64) time.Time {
+	if nanos == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, nanos).UTC()
+}
--- /dev/null
+++ b/internal/conductor/effects.go
@@ -0,0 +1,114 @@
+package conductor
+
+import (
+	"time"
+
+	"bronzedrift.example/bronzedrift/internal/forwarder"
+	"bronzedrift.example/bronzedrift/internal/holder"
+	"bronzedrift.example/bronzedrift/internal/messenger/wire"
+	"bronzedrift.example/bronzedrift/internal/recorder"
+)
+
+// carryOut does what the decisions ask for.
+func (d *Conductor) carryOut(now time.Time) {
+	h, f := &d.holderOut, &d.forwardOut
+	for i := range h.Calls {
+		d.call(h.Calls[i])
+	}
+	for i := range h.Replies {
+		r := &h.Replies[i]
+		d.send(now, r.Entry, &wire.Relay{Body: &wire.Relay_Answer{Answer: encodeAnswer(&r.Answer)}})
+	}
+	for i := range h.Notices {
+		report := encodeNotice(&h.Notices[i])
+		for _, p := range d.peers.Heard(now) {
+			if p.IsState {
+				d.send(now, p.VM, &wire.Relay{Body: &wire.Relay_Report{Report: report}})
+			}
+		}
+	}
+	for i := range h.Handovers {
+		o := &h.Handovers[i]
+		release := &wire.UpstreamRelease{Id: o.Upstream, Token: o.Token, LastEnd: o.LastEnd}
+		d.send(now, o.To, &wire.Relay{Body: &wire.Relay_ReleaseUpstream{ReleaseUpstream: release}})
+	}
+	d.logDecisions(h.Decisions)
+	h.Reset()
+	for i := range f.Sends {
+		d.forward(now, &f.Sends[i])
+	}
+	for i := range f.Verdicts {
+		d.metrics.answered(f.Verdicts[i].Result)
+		d.reply(f.Verdicts[i])
+	}
+	d.logDecisions(f.Decisions)
+	f.Sends, f.Verdicts, f.Decisions = f.Sends[:0], f.Verdicts[:0], f.Decisions[:0]
+}
+
+func (d *Conductor) forward(now time.Time, s *forwarder.Send) {
+	if s.Order != nil {
+		d.send(now, s.To, &wire.Relay{Body: &wire.Relay_Order{Order: encodeOrder(s.Order)}})
+		return
+	}
+	d.send(now, s.To, &wire.Relay{Body: &wire.Relay_Cancel{Cancel: encodeCancel(s.Cancel)}})
+}
+
+// call carries out an order to an upstream; leases and room bound their number.
+func (d *Conductor) call(c holder.Call) {
+	go func() {
+		result := d.handlers.CallUpstream(d.ctx, c)
+		d.put(func(now time.Time) { d.holder.Result(now, &result, &d.holderOut) })
+	}()
+}
+
+func (d *Conductor) reply(v forwarder.Verdict) {
+	if c := d.waiters[v.Waiter]; c != nil {
+		delete(d.waiters, v.Waiter)
+		c <- v
+	}
+}
+
+// logDecisions writes a line for each decision.
+func (d *Conductor) logDecisions(decisions []holder.Decision) {
+	for i := range decisions {
+		c := &decisions[i]
+		d.metrics.decided(c.Event)
+		line := d.log.Info()
+		if c.IsFault {
+			line = d.log.Warn()
+		}
+		for _, f := range []struct{ key, value string }{
+			{"job", c.Job}, {"request", c.Request}, {"task", c.Task}, {"upstream", c.Upstream}, {"peer", c.Peer}, {"reason", c.Reason},
+		} {
+			if f.value != "" {
+				line = line.Str(f.key, f.value)
+			}
+		}
+		if c.Run > 0 {
+			line = line.Int("run", c.Run)
+		}
+		if c.Wait > 0 {
+			line = line.Dur("after", c.Wait)
+		}
+		line.Msg(c.Event)
+	}
+}
+
+// event records an event from outside the decisions.
+func (d *Conductor) event(e recorder.Event) {
+	d.ring.Add(d.now(), e)
+	if !e.Number.IsLogged() {
+		return
+	}
+	line := d.log.Info()
+	if e.Number.IsFault() {
+		line = d.log.Warn()
+	}
+	line = line.Int("event", int(e.Number))
+	for _, f := range []struct{ key, value string }{{"job", e.Job}, {"peer", e.Peer}, {"text", e.Text}} {
+		if f.value != "" {
+			line = line.Str(f.key, f.value)
+		}
+	}
+	line.Msg(e.Number.Name())
+}
--- /dev/null
+++ b/internal/conductor/encoder.go
@@ -0,0 +1,79 @@
+package conductor
+
+import (
+	"time"
+
+	"bronzedrift.example/bronzedrift/internal/forwarder"
+	"bronzedrift.example/bronzedrift/internal/holder"
+	"bronzedrift.example/bronzedrift/internal/messenger/wire"
+	"bronzedrift.example/bronzedrift/internal/tracker"
+)
+
+func encodeHeartbeat(h *tracker.Heartbeat) *wire.Pulse {
+	w := &wire.Pulse{
+		DataCentre: h.DataCentre, IsState: h.IsState, Leaving: h.IsLeaving, Ready: h.IsReady, Configuration: h.Configuration,
+	}
+	for _, n := range h.Neighbours {
+		w.Neighbours = append(w.Neighbours, &wire.Neighbour{
+			Vm: n.VM, Incarnation: n.Incarnation, DataCentre: n.DataCentre, HeardAgo: int64(n.HeardAgo), Leaving: n.IsLeaving,
+		})
+	}
+	if !h.IsState {
+		return w
+	}
+	w.Load = &wire.HolderLoad{
+		FreeMilliCores: h.Load.FreeMilliCores, TotalMilliCores: h.Load.TotalMilliCores,
+		Backlog: int64(h.Load.Backlog), Racks: h.Load.Racks, Pending: map[string]uint32{},
+	}
+	for route, n := range h.Load.Pending {
+		w.Load.Pending[route] = uint32(n)
+	}
+	return w
+}
+
+func encodeOrder(o *holder.Order) *wire.JobOrder {
+	w := &wire.JobOrder{
+		Id: o.ID, Request: o.Request, Attempt: uint32(o.Attempt), Route: o.Route, Service: o.Service, Spec: o.Spec,
+		MaxAttempts: uint32(o.MaxAttempts), Objective: int64(o.Objective), Remaining: int64(o.Remaining),
+		Priority: int32(o.Priority), AcceptLate: o.AcceptLate,
+	}
+	for _, s := range o.Steps {
+		step := &wire.JobStep{
+			Count: uint32(s.Count), MilliCores: s.Needs.MilliCores, MemoryMb: s.Needs.MemoryMB,
+			Accelerators: s.Needs.Accelerators, Estimate: int64(s.Estimate), Label: s.Label, DataRack: s.DataRack,
+			PerUpstream: uint32(s.PerUpstream),
+		}
+		for _, a := range s.After {
+			step.After = append(step.After, uint32(a))
+		}
+		w.Steps = append(w.Steps, step)
+	}
+	return w
+}
+
+func encodeAnswer(a *holder.Answer) *wire.JobAnswer {
+	return &wire.JobAnswer{
+		Id: a.ID, Attempt: uint32(a.Attempt), Outcome: int32(a.Outcome), Started: a.Started, Wait: int64(a.Wait), Reason: a.Reason,
+	}
+}
+
+func encodeCancel(c *forwarder.Cancel) *wire.JobCancel {
+	return &wire.JobCancel{Id: c.ID, Everywhere: c.Everywhere}
+}
+
+func encodeNotice(n *holder.Notice) *wire.UpstreamReport {
+	u := &n.Upstream
+	return &wire.UpstreamReport{
+		Id: u.ID, Service: u.Service, Address: u.Address.String(), DataCentre: u.DataCentre, Rack: u.Rack, Labels: u.Labels,
+		MilliCores: u.Capacity.MilliCores, MemoryMb: u.Capacity.MemoryMB, Accelerators: u.Capacity.Accelerators,
+		State: int32(u.State), Born: encodeTime(u.Born), Sequence: u.Sequence, Clock: int64(u.Clock),
+		Holder: n.Holder, Token: n.Token,
+	}
+}
+
+func encodeTime(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -12,10 +12,13 @@
 	"bronzedrift.example/bronzedrift/internal/messenger/wire"
 )
 
-// Change asks for a new text of the configuration.
+// Change asks for a new text of the configuration. Where Version is set, the
+// operator numbers the versions: the highest takes effect and the base version
+// is not looked at.
 type Change struct {
 	ID          string
 	BaseVersion uint64
+	Version     uint64
 	Text        []byte
 }
 
@@ -26,6 +29,9 @@
 const (
 	Accepted Kind = "accepted"
 	Conflict Kind = "conflict"
+	// Superseded is the outcome of a numbered change that is not higher than the
+	// version held, which stays as it is.
+	Superseded Kind = "superseded"
 )
 
 // Outcome is the one answer to a change.
@@ -71,6 +77,9 @@
 
 // Apply applies a change. One that comes again gets its first answer.
 func (c *Configurer) Apply(ch Change) Outcome {
+	if ch.Version > 0 {
+		return c.applyNumbered(ch)
+	}
 	if known, ok := c.outcomes[ch.ID]; ok {
 		return known
 	}
@@ -88,12 +97,22 @@
 	return o
 }
 
+// applyNumbered keeps no outcomes: repeated, a numbered change is superseded by
+// itself or by a higher one, and is acknowledged all the same.
+func (c *Configurer) applyNumbered(ch Change) Outcome {
+	if ch.Version <= c.current.Version {
+		return Outcome{ID: ch.ID, Kind: Superseded, Version: c.current.Version}
+	}
+	c.current = Configuration{Version: ch.Version, Text: ch.Text}
+	return Outcome{ID: ch.ID, Kind: Accepted, Version: ch.Version}
+}
+
 // ErrEncoding says that a change or a snapshot cannot be decoded.
 var ErrEncoding = errors.New("configurer: cannot be decoded")
 
 // EncodeChange maps a change to the payload of a log entry.
 func EncodeChange(ch Change) ([]byte, error) {
-	payload, err := proto.Marshal(&wire.Change{Id: ch.ID, BaseVersion: ch.BaseVersion, Text: ch.Text})
+	payload, err := proto.Marshal(&wire.Change{Id: ch.ID, BaseVersion: ch.BaseVersion, Version: ch.Version, Text: ch.Text})
 	if err != nil {
 		return nil, fmt.Errorf("configurer: %w", err)
 	}
@@ -106,7 +125,7 @@
 	if err := proto.Unmarshal(payload, w); err != nil {
 		return Change{}, fmt.Errorf("%w: %w", ErrEncoding, err)
 	}
-	return Change{ID: w.GetId(), BaseVersion: w.GetBaseVersion(), Text: w.GetText()}, nil
+	return Change{ID: w.GetId(), BaseVersion: w.GetBaseVersion(), Version: w.GetVersion(), Text: w.GetText()}, nil
 }
 
 // Snapshot returns the whole state, with the answers to all changes.
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -24,11 +24,13 @@
 func (d *Daemon) openKeeper() error {
 	s := d.settings
 	c := keeper.Config{VM: s.VM, Timing: replicator.DefaultTiming(), Seed: rand.Uint64(), Now: d.now}
+	var stateVMs []string
 	for _, p := range s.Peers {
 		if p.Has(loader.State) {
-			c.StateVMs = append(c.StateVMs, p.VM)
+			stateVMs = append(stateVMs, p.VM)
 		}
 	}
+	c.StateVMs = func() []string { return stateVMs }
 	if s.Has(loader.State) {
 		disk, err := storer.NewFolder(s.DataFolder)
 		if err != nil {
--- /dev/null
+++ b/internal/holder/holder.go
@@ -0,0 +1,218 @@
+package holder
+
+import (
+	"sort"
+	"time"
+)
+
+// Config is what a Holder is told at its start.
+type Config struct {
+	VM         string
+	DataCentre string
+	Timing     Timing
+	// TokenEpoch is the time from which fencing tokens count milliseconds.
+	TokenEpoch time.Time
+}
+
+// Peer is another VM that can hold upstreams, and is within reach.
+type Peer struct {
+	VM         string
+	DataCentre string
+}
+
+// Holder is the decisions of one VM. It is not safe for concurrent use.
+type Holder struct {
+	config    Config
+	startedAt time.Time
+	upstreams map[string]*held
+	jobs      map[string]*job
+	queue     []*job
+	answers   map[string]remembered
+	cancelled map[string]time.Time
+	entries   map[string]*entry
+	peers     []Peer
+	leaving   bool
+	assignAt  time.Time
+	noticeAt  time.Time
+	out       *Effects
+}
+
+// entry is one VM that hands in jobs.
+type entry struct {
+	incarnation string
+	heardAt     time.Time
+}
+
+// remembered is an answer kept for an order that comes again.
+type remembered struct {
+	entry  string
+	answer Answer
+	at     time.Time
+}
+
+// isFor reports whether the answer is also that to an order: a job that ended is
+// ended for all, anything else is said of one attempt.
+func (r *remembered) isFor(entryVM string, o *Order) bool {
+	if r.answer.Outcome == Completed || r.answer.Outcome == Failed {
+		return true
+	}
+	return r.entry == entryVM && r.answer.Attempt >= o.Attempt
+}
+
+// New returns a Holder that starts at the present time and holds nothing.
+func New(now time.Time, c Config) *Holder {
+	return &Holder{
+		config: c, startedAt: now, upstreams: map[string]*held{}, jobs: map[string]*job{},
+		answers: map[string]remembered{}, cancelled: map[string]time.Time{}, entries: map[string]*entry{},
+	}
+}
+
+// Hear notes that an entry is alive. Jobs of an earlier life of it are given up.
+func (h *Holder) Hear(now time.Time, vm, incarnation string, out *Effects) {
+	h.out = out
+	e := h.entries[vm]
+	if e != nil && e.incarnation != incarnation {
+		h.abandon(now, vm, "the entry has restarted")
+	}
+	h.entries[vm] = &entry{incarnation: incarnation, heardAt: now}
+}
+
+// SetPeers says which VMs that can hold upstreams are within reach, this one
+// included if it is to hold any.
+func (h *Holder) SetPeers(peers []Peer) { h.peers = peers }
+
+// Leave ends new work here: upstreams are handed over as their runs end.
+func (h *Holder) Leave() { h.leaving = true }
+
+// IsIdle reports whether nothing is under way here.
+func (h *Holder) IsIdle() bool {
+	for _, u := range h.upstreams {
+		if u.phase != notHeld {
+			return false
+		}
+	}
+	return len(h.jobs) == 0
+}
+
+// Stall is called when this VM stood still: what its entries have decided
+// meanwhile is not known, so that all jobs are given up.
+func (h *Holder) Stall(now time.Time, gap time.Duration, out *Effects) {
+	h.out = out
+	h.decide(Decision{Event: "stalled", Wait: gap, IsFault: true})
+	for vm := range h.entries {
+		h.abandon(now, vm, "this VM stood still")
+	}
+}
+
+// Tick lets time pass.
+func (h *Holder) Tick(now time.Time, out *Effects) {
+	h.out = out
+	for vm, e := range h.entries {
+		if now.Sub(e.heardAt) > h.config.Timing.Silence {
+			h.abandon(now, vm, "the entry is silent")
+			delete(h.entries, vm)
+		}
+	}
+	if now.Sub(h.assignAt) >= assignEvery {
+		h.assignAt = now
+		h.assign(now)
+		h.forget(now)
+	}
+	if now.Sub(h.noticeAt) >= noticeEvery {
+		h.noticeAt = now
+		h.repeatNotices()
+	}
+	for _, u := range h.upstreams {
+		h.tend(now, u)
+	}
+	h.place(now)
+	h.dropLate(now)
+}
+
+// forget drops answers and cancellations that no message can refer to.
+func (h *Holder) forget(now time.Time) {
+	for id, r := range h.answers {
+		if now.Sub(r.at) > answerMemory {
+			delete(h.answers, id)
+		}
+	}
+	for id, at := range h.cancelled {
+		if now.Sub(at) > cancelMemory {
+			delete(h.cancelled, id)
+		}
+	}
+}
+
+func (h *Holder) decide(d Decision) { h.out.Decisions = append(h.out.Decisions, d) }
+
+// Load is what a holder tells entries of its room.
+type Load struct {
+	FreeMilliCores  int64
+	TotalMilliCores int64
+	// Backlog is the expected wait for a place.
+	Backlog time.Duration
+	Racks   []string
+	// Pending counts by route the jobs of which no task has started.
+	Pending map[string]int
+}
+
+// Load returns the present load.
+func (h *Holder) Load(now time.Time) Load {
+	l := Load{Pending: map[string]int{}}
+	racks := map[string]bool{}
+	for _, u := range h.upstreams {
+		if !u.isUsable(now) {
+			continue
+		}
+		l.TotalMilliCores += u.Capacity.MilliCores
+		l.FreeMilliCores += max(0, u.Capacity.MilliCores-u.used.MilliCores)
+		if u.Rack != "" {
+			racks[u.Rack] = true
+		}
+	}
+	for rack := range racks {
+		l.Racks = append(l.Racks, rack)
+	}
+	sort.Strings(l.Racks)
+	l.Backlog = h.backlog(now)
+	for _, j := range h.queue {
+		if !j.started {
+			l.Pending[j.Route]++
+		}
+	}
+	if h.leaving {
+		l.FreeMilliCores, l.TotalMilliCores = 0, 0
+	}
+	return l
+}
+
+// UpstreamStatus is what operators see of an upstream.
+type UpstreamStatus struct {
+	Upstream Upstream
+	Holder   string
+	Token    uint64
+	Held     bool
+	Runs     int
+	Speed    float64
+}
+
+// Upstreams returns all upstreams known here, by id.
+func (h *Holder) Upstreams() []UpstreamStatus {
+	list := make([]UpstreamStatus, 0, len(h.upstreams))
+	for _, u := range h.upstreams {
+		list = append(list, UpstreamStatus{
+			Upstream: u.Upstream, Holder: u.holder, Token: u.token, Held: u.phase == active, Runs: len(u.runs), Speed: u.speed,
+		})
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].Upstream.ID < list[k].Upstream.ID })
+	return list
+}
+
+// Notices returns all that is known of the upstreams, for a VM on a new link.
+func (h *Holder) Notices() []Notice {
+	list := make([]Notice, 0, len(h.upstreams))
+	for _, u := range h.upstreams {
+		list = append(list, Notice{Upstream: u.Upstream, Holder: u.holderIfOurs(h.config.VM), Token: u.token})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/holder/jobs.go
@@ -0,0 +1,224 @@
+package holder
+
+import (
+	"slices"
+	"time"
+)
+
+// Submit takes an order. One that is under way or answered already is joined.
+func (h *Holder) Submit(now time.Time, entryVM string, o Order, out *Effects) {
+	h.out = out
+	if r, ok := h.answers[o.ID]; ok && r.isFor(entryVM, &o) {
+		r.answer.Attempt = o.Attempt
+		h.out.Replies = append(h.out.Replies, Reply{entryVM, r.answer})
+		return
+	}
+	if at, ok := h.cancelled[o.ID]; ok && now.Sub(at) <= cancelMemory {
+		h.out.Replies = append(h.out.Replies, Reply{entryVM, Answer{ID: o.ID, Attempt: o.Attempt, Outcome: Cancelled}})
+		return
+	}
+	if j := h.jobs[o.ID]; j != nil {
+		h.rejoin(now, entryVM, j, &o)
+		return
+	}
+	if refusal := h.refuse(now, &o); refusal != nil {
+		h.decide(Decision{
+			Event: "job-refused", Job: o.ID, Request: o.Request, Peer: entryVM, Reason: refusal.Reason, Wait: refusal.Wait,
+		})
+		refusal.ID, refusal.Attempt = o.ID, o.Attempt
+		h.answers[o.ID] = remembered{entryVM, *refusal, now}
+		h.out.Replies = append(h.out.Replies, Reply{entryVM, *refusal})
+		return
+	}
+	j := newJob(now, entryVM, o)
+	h.jobs[o.ID] = j
+	h.queue = append(h.queue, j)
+	h.place(now)
+}
+
+// rejoin answers a job that is under way to the entry that asks now.
+func (h *Holder) rejoin(now time.Time, entryVM string, j *job, o *Order) {
+	if j.stopping {
+		return
+	}
+	if j.entry != entryVM {
+		h.decide(Decision{Event: "job-joined", Job: j.ID, Request: o.Request, Peer: entryVM})
+		j.arrivedAt = now
+	}
+	j.entry, j.Attempt, j.Remaining = entryVM, o.Attempt, o.Remaining+now.Sub(j.arrivedAt)
+}
+
+// refuse returns the answer to an order that cannot be served here in time.
+func (h *Holder) refuse(now time.Time, o *Order) *Answer {
+	if h.leaving {
+		return &Answer{Outcome: Busy, Reason: "leaving"}
+	}
+	usable, ever := h.fitsAnywhere(o)
+	if !ever {
+		return &Answer{Outcome: Busy, Reason: "no upstream", Wait: noUpstreamWait}
+	}
+	if !usable {
+		return &Answer{Outcome: Busy, Reason: "no upstream fits a task", Wait: noUpstreamWait}
+	}
+	wait := h.expectedWait(now, o)
+	limit := o.Objective
+	if o.AcceptLate {
+		limit = min(lateAdmission*o.Objective/10, o.Remaining)
+	}
+	if wait > 0 && wait+o.Chain() > limit {
+		return &Answer{Outcome: Busy, Reason: "queue", Wait: wait}
+	}
+	return nil
+}
+
+const (
+	// noUpstreamWait is the wait told while no upstream is held: about the time
+	// in which upstreams report again.
+	noUpstreamWait = time.Second
+	// lateAdmission tenths of the objective is how late a job may be expected to
+	// end when no other holder would take it: later ones would delay those that
+	// can still be on time.
+	lateAdmission = 15
+)
+
+// fitsAnywhere reports whether each step fits an upstream that is usable, and
+// whether any upstream of the service is held.
+func (h *Holder) fitsAnywhere(o *Order) (fits, isServed bool) {
+	fits = true
+	for _, s := range o.Steps {
+		stepFits := false
+		for _, u := range h.upstreams {
+			if u.phase != active || u.Service != o.Service || u.State != Ready {
+				continue
+			}
+			isServed = true
+			if u.hasLabel(s.Label) && s.Needs.fits(u.Capacity) {
+				stepFits = true
+				break
+			}
+		}
+		fits = fits && stepFits
+	}
+	return fits, isServed
+}
+
+// Cancel gives up a job whose caller is gone or has cancelled it.
+func (h *Holder) Cancel(now time.Time, entryVM, id string, everywhere bool, out *Effects) {
+	h.out = out
+	if everywhere {
+		h.cancelled[id] = now
+	}
+	j := h.jobs[id]
+	if j == nil || j.entry != entryVM && !everywhere {
+		return
+	}
+	if !j.stopping {
+		h.decide(Decision{Event: "job-cancelled", Job: id, Request: j.Request, Peer: entryVM})
+		h.giveUp(now, j, Answer{Outcome: Cancelled})
+	}
+}
+
+// abandon gives up the jobs of an entry.
+func (h *Holder) abandon(now time.Time, vm, reason string) {
+	for _, j := range h.jobs {
+		if j.entry != vm || j.stopping {
+			continue
+		}
+		h.decide(Decision{Event: "job-abandoned", Job: j.ID, Request: j.Request, Peer: vm, Reason: reason, IsFault: true})
+		h.giveUp(now, j, Answer{Outcome: Lost, Reason: reason})
+	}
+}
+
+// giveUp stops all runs of a job, and answers when they are gone.
+func (h *Holder) giveUp(now time.Time, j *job, a Answer) {
+	j.stopping, j.answer = true, a
+	h.unqueue(j)
+	for _, tasks := range j.steps {
+		for _, t := range tasks {
+			if r := t.run; r != nil {
+				h.discard(now, r)
+			}
+		}
+	}
+	if j.runs == 0 || a.Outcome == Failed || a.Outcome == Cancelled {
+		h.finish(now, j, a)
+	}
+}
+
+// discard stops a run whose end decides nothing any more.
+func (h *Holder) discard(now time.Time, r *run) {
+	r.discarded = true
+	if r.state != running {
+		return
+	}
+	for _, u := range h.upstreams {
+		if u.runs[r.key()] == r {
+			r.state = doubtful
+			h.stop(now, u, r)
+			return
+		}
+	}
+}
+
+// finish answers a job and forgets it.
+func (h *Holder) finish(now time.Time, j *job, a Answer) {
+	a.ID, a.Attempt, a.Started = j.ID, j.Attempt, j.started
+	delete(h.jobs, j.ID)
+	h.unqueue(j)
+	h.answers[j.ID] = remembered{j.entry, a, now}
+	h.decide(Decision{
+		Event: "job-" + outcomeName(a.Outcome), Job: j.ID, Request: j.Request, Peer: j.entry, Reason: a.Reason,
+		Wait: now.Sub(j.arrivedAt), IsFault: a.Outcome != Completed,
+	})
+	h.out.Replies = append(h.out.Replies, Reply{j.entry, a})
+}
+
+func outcomeName(o Outcome) string {
+	switch o {
+	case Completed:
+		return "completed"
+	case Failed:
+		return "failed"
+	case Cancelled:
+		return "cancelled"
+	case Busy:
+		return "busy"
+	}
+	return "lost"
+}
+
+func (h *Holder) unqueue(j *job) {
+	if i := slices.Index(h.queue, j); i >= 0 {
+		h.queue = slices.Delete(h.queue, i, i+1)
+	}
+}
+
+// afterRun puts a task whose run has gone without being done back in the queue,
+// and ends a job that waited for its runs to be gone.
+func (h *Holder) afterRun(now time.Time, r *run) {
+	j := r.task.job
+	if h.jobs[j.ID] != j {
+		return
+	}
+	if j.stopping {
+		if j.runs == 0 {
+			h.finish(now, j, j.answer)
+		}
+		return
+	}
+	if !slices.Contains(h.queue, j) {
+		h.queue = append(h.queue, j)
+	}
+}
+
+// dropLate gives up jobs that wait and cannot end in time to be of use.
+func (h *Holder) dropLate(now time.Time) {
+	for _, j := range slices.Clone(h.queue) {
+		switch {
+		case !j.started && now.Add(j.Chain()).After(j.giveUpAt()):
+			h.giveUp(now, j, Answer{Outcome: Busy, Reason: "no place came free in time", Wait: h.backlog(now)})
+		case now.After(j.arrivedAt.Add(j.Remaining)):
+			h.giveUp(now, j, Answer{Outcome: Lost, Reason: "the caller's deadline has passed"})
+		}
+	}
+}
--- /dev/null
+++ b/internal/holder/place.go
@@ -0,0 +1,242 @@
+package holder
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// place starts waiting tasks as far as there is room: jobs that can still be on
+// time first, those with the least time left before the others.
+func (h *Holder) place(now time.Time) {
+	if len(h.queue) == 0 {
+		return
+	}
+	sort.SliceStable(h.queue, func(i, k int) bool { return isBefore(now, h.queue[i], h.queue[k]) })
+	placed := h.queue[:0:0]
+	for i, j := range h.queue {
+		if i >= queueScan {
+			placed = append(placed, h.queue[i:]...)
+			break
+		}
+		if !h.placeJob(now, j) {
+			placed = append(placed, j)
+		}
+	}
+	h.queue = placed
+}
+
+func isBefore(now time.Time, a, b *job) bool {
+	aStart, bStart := a.latestStart(), b.latestStart()
+	aLate, bLate := aStart.Before(now), bStart.Before(now)
+	switch {
+	case a.started != b.started:
+		return a.started
+	case aLate != bLate:
+		return bLate
+	}
+	return aStart.Before(bStart)
+}
+
+// placeJob starts what it can of a job and reports whether nothing of it waits.
+func (h *Holder) placeJob(now time.Time, j *job) bool {
+	waits := false
+	j.waiting(func(t *task) bool {
+		u := h.choose(now, t)
+		if u == nil {
+			waits = true
+			return false
+		}
+		h.start(now, u, t)
+		return true
+	})
+	return !waits && !j.hasBlockedStep()
+}
+
+// hasBlockedStep reports whether a step waits for an earlier one.
+func (j *job) hasBlockedStep() bool {
+	for s := range j.steps {
+		if !j.isReady(s) {
+			return true
+		}
+	}
+	return false
+}
+
+// choose returns the upstream on which a task would end first.
+func (h *Holder) choose(now time.Time, t *task) *held {
+	var best *held
+	var bestEnd time.Duration
+	step := &t.job.Steps[t.step]
+	for _, u := range h.upstreams {
+		if !h.mayRun(now, u, t, step) {
+			continue
+		}
+		end := h.runTime(u, step)
+		if slices.Contains(t.avoid, u.ID) {
+			end *= avoidFactor
+		}
+		if best == nil || end < bestEnd || end == bestEnd && u.leftover(step) < best.leftover(step) {
+			best, bestEnd = u, end
+		}
+	}
+	return best
+}
+
+// avoidFactor weighs against an upstream on which the task has failed.
+const avoidFactor = 4
+
+func (u *held) leftover(s *Step) int64 {
+	return u.Capacity.MilliCores - u.used.MilliCores - s.Needs.MilliCores
+}
+
+func (h *Holder) mayRun(now time.Time, u *held, t *task, s *Step) bool {
+	if u.Service != t.job.Service || !u.isUsable(now) || !u.hasLabel(s.Label) {
+		return false
+	}
+	if !u.used.plus(s.Needs).fits(u.Capacity) {
+		return false
+	}
+	if u.failures >= pauseAfter && len(u.runs) > 0 {
+		return false
+	}
+	return s.PerUpstream == 0 || u.countOf(t.job, t.step) < s.PerUpstream
+}
+
+func (u *held) countOf(j *job, step int) int {
+	n := 0
+	for _, r := range u.runs {
+		if r.task.job == j && r.task.step == step {
+			n++
+		}
+	}
+	return n
+}
+
+// runTime is how long a task of a step is expected to run on an upstream.
+func (h *Holder) runTime(u *held, s *Step) time.Duration {
+	d := time.Duration(float64(s.Estimate) / u.speed)
+	if s.DataRack != "" && s.DataRack != u.Rack {
+		d = time.Duration(float64(d) * h.config.Timing.RemoteFactor)
+	}
+	return d
+}
+
+func (h *Holder) start(now time.Time, u *held, t *task) {
+	step := &t.job.Steps[t.step]
+	r := &run{task: t, number: t.nextRun, state: starting, needs: step.Needs, sentAt: now, expected: h.runTime(u, step)}
+	t.nextRun++
+	t.run = r
+	t.job.runs++
+	t.job.started = true
+	u.runs[r.key()] = r
+	u.used = u.used.plus(step.Needs)
+	h.out.Calls = append(h.out.Calls, Call{
+		Kind: StartCall, Upstream: u.ID, Address: u.Address, Token: u.token, Task: t.name, Run: r.number,
+		Spec: t.job.Spec, LeaseUntil: h.lease(now, u), Timeout: startTimeout, SentAt: now,
+	})
+	if !u.holdOut {
+		u.holdRetryAt = time.Time{}
+	}
+}
+
+// startTimeout bounds a start: an upstream answers at once, and the task is
+// placed elsewhere the sooner the shorter it is.
+const startTimeout = 200 * time.Millisecond
+
+// expectedWait is how long an order would wait for places here: none if all its
+// first tasks fit now and nothing waits before them.
+func (h *Holder) expectedWait(now time.Time, o *Order) time.Duration {
+	wait := h.backlog(now)
+	free := int64(0)
+	for _, u := range h.upstreams {
+		if u.isUsable(now) && u.Service == o.Service {
+			free += h.roomFor(u, o)
+		}
+	}
+	tasks := int64(0)
+	for _, s := range o.Steps {
+		if len(s.After) == 0 {
+			tasks += int64(s.Count)
+		}
+	}
+	if wait == 0 && free >= tasks {
+		return 0
+	}
+	missing := max(0, tasks-free)
+	return wait + h.drainTime(now, missing*o.Steps[0].Needs.MilliCores, o)
+}
+
+// roomFor counts the tasks of an order's first step that an upstream takes now.
+func (h *Holder) roomFor(u *held, o *Order) int64 {
+	s := &o.Steps[0]
+	if !u.hasLabel(s.Label) {
+		return 0
+	}
+	free := u.Capacity.minus(u.used)
+	n := int64(0)
+	for s.Needs.fits(free) && n < int64(s.Count) {
+		free = free.minus(s.Needs)
+		n++
+	}
+	return n
+}
+
+// drainTime is the time until places of so many cores come free: the present
+// runs end one after the other, spread over their mean remaining time.
+func (h *Holder) drainTime(now time.Time, milliCores int64, o *Order) time.Duration {
+	if milliCores <= 0 {
+		return 0
+	}
+	used, remaining := int64(0), time.Duration(0)
+	runs := 0
+	for _, u := range h.upstreams {
+		if u.phase != active || u.Service != o.Service {
+			continue
+		}
+		used += u.used.MilliCores
+		for _, r := range u.runs {
+			remaining += max(0, r.expected-now.Sub(r.sentAt))
+			runs++
+		}
+	}
+	if runs == 0 || used == 0 {
+		return o.Chain()
+	}
+	mean := remaining / time.Duration(runs)
+	return time.Duration(float64(2*mean) * float64(milliCores) / float64(used))
+}
+
+// backlog is the time in which the present upstreams do the work that waits.
+func (h *Holder) backlog(now time.Time) time.Duration {
+	work := 0.0
+	for _, j := range h.queue {
+		if j.stopping {
+			continue
+		}
+		for s := range j.steps {
+			step := &j.Steps[s]
+			for _, t := range j.steps[s] {
+				if !t.done && t.run == nil {
+					work += step.Estimate.Seconds() * float64(step.Needs.MilliCores)
+				}
+			}
+		}
+	}
+	if work == 0 {
+		return 0
+	}
+	speed := 0.0
+	for _, u := range h.upstreams {
+		if u.phase == active && u.State == Ready && now.After(u.pausedUntil) {
+			speed += u.speed * float64(u.Capacity.MilliCores) * packing
+		}
+	}
+	if speed == 0 {
+		return noUpstreamWait
+	}
+	return time.Duration(work / speed * float64(time.Second))
+}
+
+// packing is the share of an upstream's cores that tasks of unlike sizes fill.
+const packing = 0.8
--- /dev/null
+++ b/internal/holder/upstream.go
@@ -0,0 +1,85 @@
+// Package holder decides what the upstreams that a VM holds run: it takes an
+// upstream under a fencing token, places the tasks of jobs on it, renews its
+// leases and takes the ends of its runs. Exactly one VM at a time holds an
+// upstream; the upstream itself enforces that by refusing lower tokens. The
+// package reads no clock and opens no socket: calls to upstreams and answers to
+// entries are returned as effects.
+package holder
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Capacity is what an upstream offers or a task asks for.
+type Capacity struct {
+	MilliCores   int64
+	MemoryMB     int64
+	Accelerators int64
+}
+
+func (c Capacity) plus(o Capacity) Capacity {
+	return Capacity{c.MilliCores + o.MilliCores, c.MemoryMB + o.MemoryMB, c.Accelerators + o.Accelerators}
+}
+
+func (c Capacity) minus(o Capacity) Capacity {
+	return Capacity{c.MilliCores - o.MilliCores, c.MemoryMB - o.MemoryMB, c.Accelerators - o.Accelerators}
+}
+
+func (c Capacity) fits(in Capacity) bool {
+	return c.MilliCores <= in.MilliCores && c.MemoryMB <= in.MemoryMB && c.Accelerators <= in.Accelerators
+}
+
+// State is what an upstream says of itself.
+type State int
+
+// The states of an upstream.
+const (
+	Ready State = iota + 1
+	Draining
+	Gone
+)
+
+// Upstream is what is known of one upstream from its own heartbeats.
+type Upstream struct {
+	ID         string
+	Service    string
+	Address    netip.AddrPort
+	DataCentre string
+	Rack       string
+	Labels     []string
+	Capacity   Capacity
+	State      State
+	// Born is when this life of the upstream began, zero where it does not say.
+	Born time.Time
+	// Sequence orders the heartbeats of one life.
+	Sequence uint64
+	// Clock is the upstream's steady clock when it sent the heartbeat.
+	Clock time.Duration
+}
+
+// isNewerThan reports whether a heartbeat replaces another one: by a later life,
+// or within one life by its sequence number.
+func (u *Upstream) isNewerThan(o *Upstream) bool {
+	if !u.Born.Equal(o.Born) {
+		return u.Born.After(o.Born)
+	}
+	return u.Sequence > o.Sequence
+}
+
+// changes reports whether others have to learn of the heartbeat at once.
+func (u *Upstream) changes(o *Upstream) bool {
+	return u.State != o.State || !u.Born.Equal(o.Born) || u.Address != o.Address || u.Capacity != o.Capacity
+}
+
+func (u *Upstream) hasLabel(label string) bool {
+	return label == "" || slices.Contains(u.Labels, label)
+}
+
+// Notice is a heartbeat as VMs pass it on, with who holds the upstream.
+type Notice struct {
+	Upstream Upstream
+	Holder   string
+	Token    uint64
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -20,8 +21,15 @@
 // Config is what a Keeper is told at its start.
 type Config struct {
 	VM string
-	// StateVMs are the VMs with the role state.
-	StateVMs []string
+	// StateVMs returns the VMs with the role state that are known.
+	StateVMs func() []string
+	// Founders are the VMs whose empty disks begin a group together, the same on
+	// each of them; none where an operator begins it.
+	Founders []string
+	// Voters is the number of voters that the group keeps by itself: learners
+	// stay spare beyond it, and replace a voter that was lost. Zero makes every
+	// member a voter.
+	Voters int
 	// Disk is nil on VMs without the role state.
 	Disk   *storer.Disk
 	Timing replicator.Timing
@@ -62,6 +70,7 @@
 	done     chan struct{}
 	disk     *storer.Storer
 	replica  *replicator.Replicator
+	tendedAt time.Time
 	machine  *configurer.Configurer
 	snapshot *replicator.Snapshot
 	inForce  configurer.Configuration
@@ -93,7 +102,10 @@
 	tickEvery    = 25 * time.Millisecond
 	retryEvery   = 300 * time.Millisecond
 	compactAfter = 1000
-	joinEvery    = time.Second
+	// diskRetry is the pause before a refused write is tried again, and one in
+	// diskReportEach of the failures is reported: once a second.
+	diskRetry      = 100 * time.Millisecond
+	diskReportEach = 10
 )
 
 // New returns a Keeper with what its disk holds.
@@ -118,10 +130,21 @@
 			Number: recorder.LogTailCut, Text: fmt.Sprintf("%d bytes", disk.Cut()), Task: recorder.NoTask,
 		})
 	}
-	k.identity, err = disk.Identity(func() string { return k.config.VM + "#" + uuid.NewString() })
+	isFounder := slices.Contains(k.config.Founders, k.config.VM) && saved.Snapshot == nil && len(saved.Entries) == 0
+	k.identity, err = disk.Identity(func() string {
+		if isFounder {
+			return founderID(k.config.VM)
+		}
+		return k.config.VM + "#" + uuid.NewString()
+	})
 	if err != nil {
 		return err
 	}
+	if isFounder && k.identity == founderID(k.config.VM) {
+		if err := k.found(disk, &saved); err != nil {
+			return err
+		}
+	}
 	if saved.Snapshot != nil {
 		if err := k.machine.Restore(saved.Snapshot.State); err != nil {
 			return err
@@ -134,6 +157,29 @@
 	return nil
 }
 
+func founderID(vm string) string { return vm + "#founder" }
+
+// found saves the first state of the group, which is the same on each founder.
+func (k *Keeper) found(disk *storer.Storer, saved *replicator.Saved) error {
+	state, err := k.machine.Snapshot()
+	if err != nil {
+		return err
+	}
+	first := &replicator.Snapshot{Index: 1, Term: 1, State: state}
+	for _, vm := range k.config.Founders {
+		first.Members = append(first.Members, replicator.Member{ID: founderID(vm), VM: vm, Voter: true})
+	}
+	hard := replicator.HardState{Term: 1}
+	if err := disk.Save(&hard, nil); err != nil {
+		return err
+	}
+	if err := disk.SaveSnapshot(first, nil); err != nil {
+		return err
+	}
+	saved.Hard, saved.Snapshot = hard, first
+	return nil
+}
+
 // Serve runs the Keeper until the context ends.
 func (k *Keeper) Serve(ctx context.Context) error {
 	defer close(k.done)
@@ -151,6 +197,7 @@
 		case <-ticker.C:
 			k.step(func(now time.Time, out *replicator.Effects) { k.replica.Tick(now, out) })
 			k.askToJoin(k.config.Now())
+			k.tendMembers(k.config.Now())
 		}
 	}
 }
@@ -189,6 +236,10 @@
 	case in.message.GetConfiguration() != nil:
 		w := in.message.GetConfiguration()
 		k.adopt(configurer.Configuration{Version: w.GetVersion(), Text: w.GetText()})
+	case in.message.GetWants():
+		if k.inForce.Version > in.message.GetWantNewer() {
+			k.handlers.Send(in.from, &wire.StateMessage{Configuration: encodeConfiguration(k.inForce)})
+		}
 	case in.message.GetAnnounceMember() != "":
 		k.join(in.message.GetAnnounceVm(), in.message.GetAnnounceMember())
 	}
@@ -203,22 +254,11 @@
 	}
 }
 
-// askToJoin announces this disk while it belongs to no group that it knows of.
-func (k *Keeper) askToJoin(now time.Time) {
-	if k.replica == nil || k.replica.HasMembers() || now.Sub(k.askedAt) < joinEvery {
-		return
-	}
-	k.askedAt = now
-	k.handlers.Spread(&wire.StateMessage{AnnounceMember: k.identity, AnnounceVm: k.config.VM})
-}
-
-// join adds a state VM that was never a member. One whose former disk is a
-// member has to be replaced by an operator.
-func (k *Keeper) join(vm, identity string) {
-	if k.replica == nil {
-		return
-	}
-	k.step(func(now time.Time, out *replicator.Effects) { _ = k.replica.Add(now, identity, vm, out) })
+// Want asks a VM for its version in force if that is higher than ours.
+func (k *Keeper) Want(vm string) {
+	k.put(input{run: func(time.Time) {
+		k.handlers.Send(vm, &wire.StateMessage{Wants: true, WantNewer: k.inForce.Version})
+	}})
 }
 
 // adopt puts a version in force if it is higher than the one that is.
@@ -266,16 +306,27 @@
 	}
 }
 
-// save syncs what the replica must not forget. A disk that cannot is the end of
-// this process: what it holds is not known any more.
+// save syncs what the replica must not forget.
 func (k *Keeper) save(out *replicator.Effects) {
-	err := k.disk.Save(out.Hard, out.Save)
-	if err == nil && out.Snapshot != nil {
+	k.persist(func() error { return k.disk.Save(out.Hard, out.Save) })
+	if out.Snapshot != nil {
 		k.snapshot = out.Snapshot
-		err = k.disk.SaveSnapshot(out.Snapshot, k.replica.EntriesAfter(out.Snapshot.Index))
+		k.persist(func() error { return k.disk.SaveSnapshot(out.Snapshot, k.replica.EntriesAfter(out.Snapshot.Index)) })
 	}
-	if err != nil {
-		panic(err)
+}
+
+// persist repeats a write that the disk refuses. The replica decides nothing
+// meanwhile, so that a group with such a disk works as without this member.
+func (k *Keeper) persist(write func() error) {
+	for failures := 0; ; failures++ {
+		err := write()
+		if err == nil {
+			return
+		}
+		if failures%diskReportEach == 0 {
+			k.handlers.Event(recorder.Event{Number: recorder.DiskRefused, Text: err.Error(), Task: recorder.NoTask})
+		}
+		time.Sleep(diskRetry)
 	}
 }
 
--- a/internal/keeper/request.go
+++ b/internal/keeper/request.go
@@ -15,7 +15,9 @@
 const (
 	requestChange = "change"
 	requestRead   = "read"
-	requestRemove = "remove"
+	// requestCurrent reads the newest version without its history.
+	requestCurrent = "read-current"
+	requestRemove  = "remove"
 )
 
 // View is the configuration as a linearizable read returns it.
@@ -28,7 +30,7 @@
 // id it has the same outcome.
 func (k *Keeper) Change(ctx context.Context, ch configurer.Change) (configurer.Outcome, error) {
 	r, err := k.request(ctx, &wire.Request{
-		Kind: requestChange, Change: &wire.Change{Id: ch.ID, BaseVersion: ch.BaseVersion, Text: ch.Text},
+		Kind: requestChange, Change: &wire.Change{Id: ch.ID, BaseVersion: ch.BaseVersion, Version: ch.Version, Text: ch.Text},
 	})
 	if err != nil {
 		return configurer.Outcome{}, err
@@ -50,6 +52,15 @@
 	return v, nil
 }
 
+// ReadCurrent returns the newest version alone, as of a time after the call.
+func (k *Keeper) ReadCurrent(ctx context.Context) (configurer.Configuration, error) {
+	r, err := k.request(ctx, &wire.Request{Kind: requestCurrent})
+	if err != nil {
+		return configurer.Configuration{}, err
+	}
+	return decodeConfiguration(r.GetState().GetCurrent()), nil
+}
+
 // Remove takes a VM's disk out of the group unless that would lose the quorum.
 func (k *Keeper) Remove(ctx context.Context, vm string) error {
 	_, err := k.request(ctx, &wire.Request{Kind: requestRemove, Vm: vm})
@@ -140,11 +151,12 @@
 		k.serve(now, cloneRequest(w, false))
 		return
 	}
-	if len(k.config.StateVMs) == 0 {
+	vms := k.config.StateVMs()
+	if len(vms) == 0 {
 		return
 	}
 	k.next++
-	k.handlers.Send(k.config.StateVMs[k.next%len(k.config.StateVMs)], &wire.StateMessage{Request: w})
+	k.handlers.Send(vms[k.next%len(vms)], &wire.StateMessage{Request: w})
 }
 
 func cloneRequest(w *wire.Request, passed bool) *wire.Request {
@@ -161,6 +173,7 @@
 	}
 	status := k.replica.Status()
 	if status.Role != replicator.Leader {
+		delete(k.awaited, w.GetNumber())
 		if !w.GetPassed() && status.LeaderVM != "" {
 			k.handlers.Send(status.LeaderVM, &wire.StateMessage{Request: cloneRequest(w, true)})
 		}
@@ -169,7 +182,7 @@
 	switch w.GetKind() {
 	case requestChange:
 		k.propose(w)
-	case requestRead:
+	case requestRead, requestCurrent:
 		k.awaited[w.GetNumber()] = &call{request: w}
 		k.step(func(now time.Time, out *replicator.Effects) { _ = k.replica.Read(now, w.GetNumber(), out) })
 	case requestRemove:
@@ -179,7 +192,8 @@
 
 func (k *Keeper) propose(w *wire.Request) {
 	ch := configurer.Change{
-		ID: w.GetChange().GetId(), BaseVersion: w.GetChange().GetBaseVersion(), Text: w.GetChange().GetText(),
+		ID: w.GetChange().GetId(), BaseVersion: w.GetChange().GetBaseVersion(),
+		Version: w.GetChange().GetVersion(), Text: w.GetChange().GetText(),
 	}
 	if o, ok := k.machine.Outcome(ch.ID); ok {
 		k.replyOutcome(w, o)
@@ -217,12 +231,19 @@
 	}
 	delete(k.awaited, number)
 	state := &wire.ConfigState{Current: encodeConfiguration(k.machine.Current())}
-	for _, h := range k.machine.History() {
+	for _, h := range k.historyFor(c.request) {
 		state.History = append(state.History, encodeConfiguration(h))
 	}
 	k.reply(c.request, &wire.Response{State: state})
 }
 
+func (k *Keeper) historyFor(w *wire.Request) []configurer.Configuration {
+	if w.GetKind() == requestCurrent {
+		return nil
+	}
+	return k.machine.History()
+}
+
 func (k *Keeper) replyOutcome(w *wire.Request, o configurer.Outcome) {
 	k.handlers.Event(recorder.Event{Number: recorder.ConfigurationChange, Text: o.ID + " " + string(o.Kind), Task: recorder.NoTask})
 	k.reply(w, &wire.Response{Outcome: &wire.Outcome{Id: o.ID, Kind: string(o.Kind), Version: o.Version}})
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -33,12 +34,15 @@
 	peer      Peer
 	ring      chan outgoing
 	overflow  chan struct{}
+	stop      context.CancelFunc
 }
 
-// outgoing is one message for a peer: the dispatcher's or the log's.
+// outgoing is one message for a peer: the dispatcher's, the log's, or one
+// between entries and holders.
 type outgoing struct {
 	message *dispatcher.Message
 	log     []byte
+	relay   *wire.Relay
 }
 
 func newLink(m *Messenger, p Peer) *link {
@@ -46,6 +50,7 @@
 		messenger: m, peer: p,
 		ring:     make(chan outgoing, m.config.RingSize),
 		overflow: make(chan struct{}, 1),
+		stop:     func() {},
 	}
 }
 
@@ -110,7 +115,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("messenger: dialling %s: %w", l.peer.VM, err)
 	}
-	session, err := yamux.Client(conn, sessionConfig())
+	session, err := yamux.Client(conn, l.messenger.sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, nil, fmt.Errorf("messenger: session with %s: %w", l.peer.VM, err)
@@ -164,7 +169,7 @@
 			sequence++
 			frame := l.batch(first, sequence)
 			var err error
-			_ = stream.SetWriteDeadline(time.Now().Add(silenceTimeout))
+			_ = stream.SetWriteDeadline(time.Now().Add(l.messenger.silence()))
 			if buffer, err = writeFrame(stream, buffer, frame); err != nil {
 				return
 			}
@@ -197,7 +202,10 @@
 }
 
 func encodeOutgoing(o outgoing) *wire.Message {
-	if o.message == nil {
+	switch {
+	case o.relay != nil:
+		return &wire.Message{Body: &wire.Message_Relay{Relay: o.relay}}
+	case o.message == nil:
 		return &wire.Message{Body: &wire.Message_Log{Log: o.log}}
 	}
 	return encode(o.message)
@@ -208,7 +216,7 @@
 	m.sessions.Store(conn, nil)
 	defer m.sessions.Delete(conn)
 	defer func() { _ = conn.Close() }()
-	session, err := yamux.Server(conn, sessionConfig())
+	session, err := yamux.Server(conn, m.sessionConfig())
 	if err != nil {
 		return
 	}
@@ -241,8 +249,8 @@
 	if !m.isSecret(greeting.GetSecret()) {
 		return "", ErrSecret
 	}
-	if m.links[greeting.GetVm()] == nil {
-		return "", ErrPeer
+	if err := m.admit(&greeting); err != nil {
+		return "", err
 	}
 	back := &wire.Greeting{Vm: m.config.VM, DataCentre: m.config.DataCentre, Secret: m.config.Secret, Version: version}
 	if _, err := writeFrame(stream, nil, back); err != nil {
@@ -252,10 +260,27 @@
 	return greeting.GetVm(), nil
 }
 
+// admit accepts a known peer, or any where the messenger admits all.
+func (m *Messenger) admit(greeting *wire.Greeting) error {
+	m.mu.RLock()
+	known := m.links[greeting.GetVm()] != nil
+	m.mu.RUnlock()
+	if known {
+		return nil
+	}
+	inner, err := netip.ParseAddrPort(greeting.GetVm())
+	if !m.config.AdmitsAll || err != nil {
+		return ErrPeer
+	}
+	m.AddPeer(Peer{VM: greeting.GetVm(), DataCentre: greeting.GetDataCentre(), Inner: inner})
+	return nil
+}
+
 // readFrames hands on the messages of a session. Sequence numbers rise by one,
 // so that a frame is never applied twice.
 func (m *Messenger) readFrames(ctx context.Context, from string, reader *bufio.Reader) {
 	var last uint64
+	session := m.session.Add(1)
 	for ctx.Err() == nil {
 		frame := &wire.Frame{}
 		size, err := readFrame(reader, frame)
@@ -268,18 +293,22 @@
 		m.handlers.Observe(recorder.Clock{
 			Wall: fromUnixNano(frame.GetClockWall()), Counter: frame.GetClockCounter(),
 		})
-		if !m.deliver(from, frame) {
+		if !m.deliver(from, session, frame) {
 			return
 		}
 	}
 }
 
-func (m *Messenger) deliver(from string, frame *wire.Frame) bool {
+func (m *Messenger) deliver(from string, session uint64, frame *wire.Frame) bool {
 	for _, w := range frame.GetMessages() {
 		if log, ok := w.GetBody().(*wire.Message_Log); ok {
 			m.handlers.Log(from, log.Log)
 			continue
 		}
+		if relay, ok := w.GetBody().(*wire.Message_Relay); ok && m.handlers.Relay != nil {
+			m.handlers.Relay(from, session, relay.Relay)
+			continue
+		}
 		msg, err := decode(w)
 		if err != nil {
 			m.handlers.Event(recorder.Event{Number: recorder.LinkRefused, Peer: from, Text: err.Error(), Task: recorder.NoTask})
@@ -290,12 +319,22 @@
 	return true
 }
 
+func (m *Messenger) silence() time.Duration {
+	if m.config.Silence > 0 {
+		return m.config.Silence
+	}
+	return silenceTimeout
+}
+
 // sessionConfig closes a session whose peer leaves heartbeats unanswered.
-func sessionConfig() *yamux.Config {
+func (m *Messenger) sessionConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.EnableKeepAlive = true
 	c.KeepAliveInterval = heartbeat
-	c.ConnectionWriteTimeout = silenceTimeout
+	if m.config.Heartbeat > 0 {
+		c.KeepAliveInterval = m.config.Heartbeat
+	}
+	c.ConnectionWriteTimeout = m.silence()
 	c.MaxStreamWindowSize = streamWindowSize
 	c.LogOutput = io.Discard
 	return c
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -12,8 +12,10 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"bronzedrift.example/bronzedrift/internal/dispatcher"
+	"bronzedrift.example/bronzedrift/internal/messenger/wire"
 	"bronzedrift.example/bronzedrift/internal/recorder"
 )
 
@@ -32,12 +34,20 @@
 	Peers      []Peer
 	Secret     string
 	RingSize   int
+	// AdmitsAll lets VMs link that are not among the peers; each becomes a peer
+	// under the inner address that it names as its VM.
+	AdmitsAll bool
+	// Heartbeat and Silence override the defaults where they are not zero.
+	Heartbeat, Silence time.Duration
 }
 
 // Handlers are called by the links. None may block for long.
 type Handlers struct {
-	Message  func(from string, m dispatcher.Message)
-	Log      func(from string, payload []byte)
+	Message func(from string, m dispatcher.Message)
+	Log     func(from string, payload []byte)
+	// Relay takes a message between entries and holders. Session numbers the
+	// inbound session that it came on.
+	Relay    func(from string, session uint64, r *wire.Relay)
 	PeerUp   func(vm string)
 	PeerLost func(vm string)
 	Event    func(recorder.Event)
@@ -59,9 +69,13 @@
 type Messenger struct {
 	config   Config
 	handlers Handlers
+	mu       sync.RWMutex
 	links    map[string]*link
+	serving  context.Context
+	running  sync.WaitGroup
 	listener net.Listener
 	sessions sync.Map
+	session  atomic.Uint64
 	Counts   Counts
 }
 
@@ -92,48 +106,91 @@
 // Send queues a message for a peer. It reports false, and closes the link,
 // where the ring of the link is full or the peer is unknown.
 func (m *Messenger) Send(to string, msg dispatcher.Message) bool {
-	l := m.links[to]
-	if l == nil {
-		return false
-	}
-	return l.offer(outgoing{message: &msg})
+	return m.offer(to, outgoing{message: &msg})
 }
 
 // SendLog queues a message of the replicated log for a peer.
 func (m *Messenger) SendLog(to string, payload []byte) bool {
+	return m.offer(to, outgoing{log: payload})
+}
+
+// SendRelay queues a message between entries and holders for a peer.
+func (m *Messenger) SendRelay(to string, r *wire.Relay) bool {
+	return m.offer(to, outgoing{relay: r})
+}
+
+func (m *Messenger) offer(to string, o outgoing) bool {
+	m.mu.RLock()
 	l := m.links[to]
-	if l == nil {
-		return false
+	m.mu.RUnlock()
+	return l != nil && l.offer(o)
+}
+
+// AddPeer links a VM that was learnt after the start. A known one is left alone.
+func (m *Messenger) AddPeer(p Peer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.links[p.VM] != nil || p.VM == m.config.VM {
+		return
+	}
+	l := newLink(m, p)
+	m.links[p.VM] = l
+	if m.serving != nil && m.serving.Err() == nil {
+		m.start(l)
+	}
+}
+
+// RemovePeer ends the link to a VM.
+func (m *Messenger) RemovePeer(vm string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l := m.links[vm]; l != nil {
+		delete(m.links, vm)
+		l.stop()
 	}
-	return l.offer(outgoing{log: payload})
+}
+
+// CloseInbound closes the sessions that peers have dialled, with what was sent
+// on them and not read yet.
+func (m *Messenger) CloseInbound() {
+	m.sessions.Range(func(key, _ any) bool {
+		_ = key.(net.Conn).Close()
+		return true
+	})
+}
+
+// start runs a link; the caller holds the lock.
+func (m *Messenger) start(l *link) {
+	ctx, cancel := context.WithCancel(m.serving)
+	l.stop = cancel
+	m.running.Go(func() { l.run(ctx) })
 }
 
 // Serve runs all links until the context ends. Each VM dials every peer and
 // sends on the link it dialled; it receives on the links it accepted.
 func (m *Messenger) Serve(ctx context.Context) error {
-	var wg sync.WaitGroup
+	m.mu.Lock()
+	m.serving = ctx
 	for _, l := range m.links {
-		wg.Go(func() { l.run(ctx) })
+		m.start(l)
 	}
+	m.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { m.close() })
 	defer stop()
 	for {
 		conn, err := m.listener.Accept()
 		if err != nil {
 			m.close()
-			wg.Wait()
+			m.running.Wait()
 			return ctx.Err()
 		}
-		wg.Go(func() { m.receive(ctx, conn) })
+		m.running.Go(func() { m.receive(ctx, conn) })
 	}
 }
 
 func (m *Messenger) close() {
 	_ = m.listener.Close()
-	m.sessions.Range(func(key, _ any) bool {
-		_ = key.(net.Conn).Close()
-		return true
-	})
+	m.CloseInbound()
 }
 
 func (m *Messenger) isSecret(s string) bool {
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -51,6 +51,8 @@
 	ElectionWon:         {"election-won", true, false},
 	LogTailCut:          {"log-tail-cut", true, true},
 	ConfigurationChange: {"configuration-change", true, false},
+	DiskRefused:         {"disk-refused", true, true},
+	OrderLate:           {"order-late", true, true},
 }
 
 // Name returns the name of an event in kebab case.
--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -82,8 +82,71 @@
 	r.replicateAll(now)
 }
 
-// promote makes a learner a voter once it holds all that is committed.
+// Tending says how many voters a leader keeps, and which silence makes a member
+// count as lost.
+type Tending struct {
+	Voters                           int
+	VoterLostAfter, LearnerLostAfter time.Duration
+}
+
+// Tend lets the leader make one step towards the wanted number of voters within
+// reach: a learner that has caught up becomes a voter, then a lost voter leaves.
+func (r *Replicator) Tend(now time.Time, t Tending, out *Effects) {
+	r.tended = true
+	if r.role != Leader || r.memberAt > r.commit || r.commit < r.termStart {
+		return
+	}
+	voters, lostVoter, lostLearner := 0, "", ""
+	for _, m := range r.members {
+		silence := r.silenceOf(now, m.ID)
+		switch {
+		case m.Voter && silence > t.VoterLostAfter:
+			voters++
+			lostVoter = m.VM
+		case m.Voter:
+			voters++
+		case silence > t.LearnerLostAfter:
+			lostLearner = m.VM
+		}
+	}
+	switch {
+	case voters > t.Voters && lostVoter != "":
+		_ = r.Remove(now, lostVoter, out)
+	case voters < t.Voters || voters == t.Voters && lostVoter != "":
+		r.promoteAny(now, out)
+	case lostLearner != "":
+		_ = r.Remove(now, lostLearner, out)
+	}
+}
+
+func (r *Replicator) silenceOf(now time.Time, id string) time.Duration {
+	p := r.progress[id]
+	if p == nil {
+		return 0
+	}
+	return now.Sub(p.heardAt)
+}
+
+// promoteAny makes the first learner that has caught up a voter.
+func (r *Replicator) promoteAny(now time.Time, out *Effects) {
+	for i, m := range r.members {
+		p := r.progress[m.ID]
+		if m.Voter || p == nil || p.match < r.commit || !r.isWithinReach(now, m.ID) {
+			continue
+		}
+		members := slices.Clone(r.members)
+		members[i].Voter = true
+		_ = r.change(now, members, out)
+		return
+	}
+}
+
+// promote makes a learner a voter once it holds all that is committed, unless
+// Tend decides on the voters.
 func (r *Replicator) promote(now time.Time, id string) {
+	if r.tended {
+		return
+	}
 	if r.memberAt > r.commit || r.commit < r.termStart || r.isVoter(id) || r.progress[id].match < r.commit {
 		return
 	}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -56,6 +56,7 @@
 	out       *Effects
 	unsavedAt uint64
 	termStart uint64
+	tended    bool
 }
 
 // progress is what a leader knows of one other member.
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"io/fs"
 	"strings"
 
 	"bronzedrift.example/bronzedrift/internal/replicator"
@@ -18,6 +19,7 @@
 	snapshot uint64
 	hard     replicator.HardState
 	cut      int64
+	dirty    bool
 }
 
 // CorruptError is a record that is damaged though more was written after it.
@@ -113,19 +115,37 @@
 		data = appendRecord(data, encodeEntry(&entries[i]))
 	}
 	isNew := s.size == 0
+	if err := s.cutLeftover(); err != nil {
+		return err
+	}
+	s.dirty = true
 	if err := s.disk.Append(s.segment, data); err != nil {
 		return fmt.Errorf("storer: appending: %w", err)
 	}
-	s.size += int64(len(data))
 	if err := s.disk.Sync(s.segment); err != nil {
 		return fmt.Errorf("storer: syncing: %w", err)
 	}
+	s.dirty = false
+	s.size += int64(len(data))
 	if isNew {
 		return s.disk.SyncFolder()
 	}
 	return nil
 }
 
+// cutLeftover cuts what a save that failed may have left at the end, so that
+// the save can be repeated.
+func (s *Storer) cutLeftover() error {
+	if !s.dirty {
+		return nil
+	}
+	if err := s.disk.Truncate(s.segment, s.size); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("storer: cutting %s: %w", s.segment, err)
+	}
+	s.dirty = false
+	return nil
+}
+
 // SaveSnapshot writes a snapshot and begins a new segment with the entries after
 // it. Older files are removed once both are synced.
 func (s *Storer) SaveSnapshot(snapshot *replicator.Snapshot, rest []replicator.Entry) error {
--- /dev/null
+++ b/internal/tracker/tracker.go
@@ -0,0 +1,196 @@
+// Package tracker knows which VMs are within reach. A VM lives by its
+// heartbeats, which also name the state VMs that their sender has heard, so that
+// VMs find each other from a few seeds and a VM that cannot be heard directly is
+// not taken for lost while others hear it.
+package tracker
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"bronzedrift.example/bronzedrift/internal/holder"
+)
+
+// Heartbeat is what a VM says of itself.
+type Heartbeat struct {
+	VM          string
+	Incarnation string
+	DataCentre  string
+	IsState     bool
+	// IsLeaving says that the VM is stopping.
+	IsLeaving bool
+	// IsReady says that the VM can hold upstreams.
+	IsReady bool
+	// Configuration is the version in force there.
+	Configuration uint64
+	Neighbours    []Neighbour
+	Load          holder.Load
+}
+
+// Neighbour is a state VM that the sender of a heartbeat has heard.
+type Neighbour struct {
+	VM          string
+	Incarnation string
+	DataCentre  string
+	HeardAgo    time.Duration
+	IsLeaving   bool
+}
+
+// Peer is what is known of another VM.
+type Peer struct {
+	Heartbeat
+	// HeardAt is when the VM's own heartbeat was last heard, SeenAt when it or
+	// another VM that heard it.
+	HeardAt time.Time
+	SeenAt  time.Time
+}
+
+// Tracker holds the peers. It is not safe for concurrent use.
+type Tracker struct {
+	self  string
+	peers map[string]*Peer
+}
+
+const (
+	// HeartbeatEvery is the pause between heartbeats.
+	HeartbeatEvery = 100 * time.Millisecond
+	// Silence after which a VM is not within reach: three lost heartbeats, and
+	// what delays one.
+	Silence = 400 * time.Millisecond
+	// evidenceSilence is Silence and the way over a third VM.
+	evidenceSilence = Silence + 3*HeartbeatEvery
+	// forgetAfter is the silence after which a VM is forgotten.
+	forgetAfter = 20 * time.Second
+)
+
+// New returns a Tracker of a VM that knows nobody.
+func New(self string) *Tracker { return &Tracker{self: self, peers: map[string]*Peer{}} }
+
+// News is what a heartbeat has changed.
+type News struct {
+	// Found are state VMs that were not known.
+	Found []string
+	// HasRestarted says that the sender is another process than before.
+	HasRestarted bool
+}
+
+// Hear takes a heartbeat.
+func (t *Tracker) Hear(now time.Time, h Heartbeat) News {
+	var news News
+	p := t.peers[h.VM]
+	if p == nil {
+		p = &Peer{}
+		t.peers[h.VM] = p
+		if h.IsState {
+			news.Found = append(news.Found, h.VM)
+		}
+	}
+	news.HasRestarted = p.Incarnation != "" && p.Incarnation != h.Incarnation
+	p.Heartbeat = h
+	p.HeardAt, p.SeenAt = now, now
+	for _, n := range h.Neighbours {
+		if n.VM != t.self && t.hearOf(now, n) {
+			news.Found = append(news.Found, n.VM)
+		}
+	}
+	return news
+}
+
+// hearOf takes what another VM says of a state VM, and reports whether it is new.
+func (t *Tracker) hearOf(now time.Time, n Neighbour) bool {
+	p := t.peers[n.VM]
+	if p == nil {
+		t.peers[n.VM] = &Peer{
+			Heartbeat: Heartbeat{VM: n.VM, DataCentre: n.DataCentre, IsState: true, IsLeaving: n.IsLeaving},
+			SeenAt:    now.Add(-n.HeardAgo),
+		}
+		return true
+	}
+	if at := now.Add(-n.HeardAgo); p.Incarnation == n.Incarnation && at.After(p.SeenAt) {
+		p.SeenAt = at
+		p.IsLeaving = n.IsLeaving
+	}
+	return false
+}
+
+// Peer returns what is known of a VM, nil if nothing is.
+func (t *Tracker) Peer(vm string) *Peer { return t.peers[vm] }
+
+// IsHeard reports whether a VM's own heartbeats come.
+func (t *Tracker) IsHeard(now time.Time, vm string) bool {
+	p := t.peers[vm]
+	return p != nil && !p.HeardAt.IsZero() && now.Sub(p.HeardAt) < Silence
+}
+
+// Heard returns the VMs whose own heartbeats come, by name.
+func (t *Tracker) Heard(now time.Time) []*Peer {
+	var list []*Peer
+	for vm, p := range t.peers {
+		if t.IsHeard(now, vm) {
+			list = append(list, p)
+		}
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].VM < list[k].VM })
+	return list
+}
+
+// Known returns all known VMs.
+func (t *Tracker) Known() []string {
+	list := make([]string, 0, len(t.peers))
+	for vm := range t.peers {
+		list = append(list, vm)
+	}
+	return list
+}
+
+// StateVMs returns all known state VMs.
+func (t *Tracker) StateVMs() []string {
+	var list []string
+	for vm, p := range t.peers {
+		if p.IsState {
+			list = append(list, vm)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Holders returns the state VMs that can hold upstreams and are alive as far as
+// this VM or others can tell.
+func (t *Tracker) Holders(now time.Time) []holder.Peer {
+	var list []holder.Peer
+	for vm, p := range t.peers {
+		if p.IsState && p.IsReady && !p.IsLeaving && now.Sub(p.SeenAt) < evidenceSilence {
+			list = append(list, holder.Peer{VM: vm, DataCentre: p.DataCentre})
+		}
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].VM < list[k].VM })
+	return list
+}
+
+// Neighbours returns the state VMs to be named in a heartbeat.
+func (t *Tracker) Neighbours(now time.Time) []Neighbour {
+	var list []Neighbour
+	for vm, p := range t.peers {
+		if p.IsState && t.IsHeard(now, vm) {
+			list = append(list, Neighbour{
+				VM: vm, Incarnation: p.Incarnation, DataCentre: p.DataCentre,
+				HeardAgo: now.Sub(p.HeardAt), IsLeaving: p.IsLeaving,
+			})
+		}
+	}
+	return list
+}
+
+// Forget drops and returns the VMs that were not seen for long.
+func (t *Tracker) Forget(now time.Time) []string {
+	var gone []string
+	for vm, p := range t.peers {
+		if now.Sub(p.SeenAt) > forgetAfter {
+			delete(t.peers, vm)
+			gone = append(gone, vm)
+		}
+	}
+	return gone
+}
