A job that its entry gives up is lost, not cancelled; entries stand in for lost state VMs

Ruled out: a DELETE of a client (none was sent in the trace).

Change: a withdrawal by an entry is answered as lost, once nothing of the job runs; only a caller's own cancellation is called one.

Also: while no state VM is within reach, the entries of a data centre link to each other and hold its upstreams, from what the state VMs told them before.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
@@ -76,17 +77,22 @@
 	ready       atomic.Bool
 	idle        atomic.Bool
 	leaving     bool
-	startedAt   time.Time
-	lastAt      time.Time
-	beatAt      time.Time
-	forgetAt    time.Time
-	sessions    map[uint64]*session
-	closedTo    uint64
-	waiters     map[uint64]chan forwarder.Verdict
-	waiter      uint64
-	holderOut   holder.Effects
-	forwardOut  forwarder.Effects
-	metrics     metrics
+	beats       int
+	// aloneSince is when an entry lost sight of all state VMs.
+	aloneSince time.Time
+	// local are messages of this VM to itself.
+	local      []func(now time.Time)
+	startedAt  time.Time
+	lastAt     time.Time
+	beatAt     time.Time
+	forgetAt   time.Time
+	sessions   map[uint64]*session
+	closedTo   uint64
+	waiters    map[uint64]chan forwarder.Verdict
+	waiter     uint64
+	holderOut  holder.Effects
+	forwardOut forwarder.Effects
+	metrics    metrics
 }
 
 // session is what is known of one inbound session's delay.
@@ -109,8 +115,10 @@
 	linkHeartbeat = 250 * time.Millisecond
 	linkSilence   = 350 * time.Millisecond
 	forgetEvery   = time.Second
-	eventRing     = 512
-	failureDecay  = 30
+	// entriesEvery is how many heartbeats apart entries are told of each other.
+	entriesEvery = 10
+	eventRing    = 512
+	failureDecay = 30
 )
 
 // tokenEpoch is the beginning of the time in which fencing tokens count.
@@ -127,7 +135,7 @@
 	}
 	d.startedAt = now()
 	d.lastAt = d.startedAt
-	d.holder = holder.New(d.startedAt, holder.Config{VM: self, DataCentre: c.DataCentre, Timing: c.Timing, TokenEpoch: tokenEpoch})
+	d.holder = holder.New(d.startedAt, holderConfig(&c))
 	d.forwarder = forwarder.New(c.DataCentre, c.Timing, d.peers)
 	d.stateVMs.Store(&[]string{})
 	if err := d.openMessenger(); err != nil {
@@ -139,6 +147,27 @@
 	return d, nil
 }
 
+// holderConfig tells the holder of an entry, to which no upstream reports, to rely
+// on what others have said.
+func holderConfig(c *Config) holder.Config {
+	h := holder.Config{
+		VM: c.Inner.String(), DataCentre: c.DataCentre, Timing: c.Timing, TokenEpoch: tokenEpoch, BlindTries: blindTries,
+	}
+	if !c.IsState {
+		h.BlindTries = math.MaxInt
+		h.Timing.UpstreamSilence = standInMemory
+	}
+	return h
+}
+
+const (
+	// blindTries covers a lost message, not a partition.
+	blindTries = 2
+	// standInMemory is how long an entry remembers upstreams that it hears
+	// nothing of, because no state VM is there.
+	standInMemory = time.Minute
+)
+
 func (d *Conductor) openMessenger() error {
 	var peers []messenger.Peer
 	for _, s := range d.config.Seeds {
@@ -244,6 +273,12 @@
 		d.checkStall(now)
 		input(now)
 		d.carryOut(now)
+		for len(d.local) > 0 {
+			message := d.local[0]
+			d.local = d.local[1:]
+			message(now)
+			d.carryOut(now)
+		}
 	}
 }
 
@@ -251,7 +286,7 @@
 func (d *Conductor) checkStall(now time.Time) {
 	gap := now.Sub(d.lastAt)
 	d.lastAt = now
-	if gap < stallGap || !d.config.IsState {
+	if gap < stallGap {
 		return
 	}
 	for number := range d.sessions {
@@ -263,10 +298,11 @@
 }
 
 func (d *Conductor) tick(now time.Time) {
-	if d.config.IsState {
-		d.holder.SetPeers(d.holders(now))
-		d.holder.Tick(now, &d.holderOut)
-	} else {
+	d.standIn(now)
+	d.holder.SetPeers(d.withinReach(now))
+	d.holder.Tick(now, &d.holderOut)
+	if !d.config.IsState {
+		d.holder.Hear(now, d.config.Inner.String(), d.incarnation, &d.holderOut)
 		d.forwarder.Tick(now, &d.forwardOut)
 	}
 	if now.Sub(d.beatAt) >= tracker.HeartbeatEvery {
@@ -282,10 +318,7 @@
 }
 
 func (d *Conductor) isIdle() bool {
-	if d.config.IsState {
-		return d.holder.IsIdle()
-	}
-	return d.forwarder.Count() == 0
+	return d.holder.IsIdle() && d.forwarder.Count() == 0
 }
 
 // isReady reports whether callers are served here: a configuration is in force
@@ -295,38 +328,43 @@
 		return false
 	}
 	for _, p := range d.peers.Heard(now) {
-		if p.IsState && p.Load.TotalMilliCores > 0 {
+		if p.Load.TotalMilliCores > 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// holders returns the VMs that can hold upstreams, this one included.
-func (d *Conductor) holders(now time.Time) []holder.Peer {
-	list := d.peers.Holders(now)
-	if !d.leaving {
-		list = append(list, holder.Peer{VM: d.config.Inner.String(), DataCentre: d.config.DataCentre})
-	}
-	return list
-}
-
 func (d *Conductor) isSettled(now time.Time) bool {
 	return now.Sub(d.startedAt) >= d.config.Timing.Settle
 }
 
-// beat tells all peers that this VM is alive, and what it offers.
+// beat tells all peers that this VM is alive, and what it offers. State VMs also
+// tell entries, more seldom, of the other entries of their data centre.
 func (d *Conductor) beat(now time.Time) {
 	h := tracker.Heartbeat{
+		VM: d.config.Inner.String(), Incarnation: d.incarnation,
 		DataCentre: d.config.DataCentre, IsState: d.config.IsState, IsLeaving: d.leaving, IsReady: d.isSettled(now),
-		Configuration: d.version.Load(), Neighbours: d.peers.Neighbours(now),
+		Configuration: d.version.Load(), Neighbours: d.peers.Neighbours(now, ""), Load: d.holder.Load(now),
 	}
-	if d.config.IsState {
-		h.Load = d.holder.Load(now)
+	if !d.config.IsState {
+		d.peers.Hear(now, h)
 	}
 	pulse := encodeHeartbeat(&h)
+	d.beats++
+	withEntries := d.config.IsState && d.beats%entriesEvery == 0
+	full := map[string]*wire.Pulse{}
 	for _, vm := range d.peers.Known() {
-		d.send(now, vm, &wire.Relay{Body: &wire.Relay_Pulse{Pulse: pulse}})
+		p := d.peers.Peer(vm)
+		if !withEntries || p.IsState {
+			d.send(now, vm, &wire.Relay{Body: &wire.Relay_Pulse{Pulse: pulse}})
+			continue
+		}
+		if full[p.DataCentre] == nil {
+			h.Neighbours = d.peers.Neighbours(now, p.DataCentre)
+			full[p.DataCentre] = encodeHeartbeat(&h)
+		}
+		d.send(now, vm, &wire.Relay{Body: &wire.Relay_Pulse{Pulse: full[p.DataCentre]}})
 	}
 	for _, s := range d.config.Seeds {
 		if d.peers.Peer(s.String()) == nil {
--- a/internal/conductor/decoder.go
+++ b/internal/conductor/decoder.go
@@ -23,7 +23,7 @@
 	for _, n := range w.GetNeighbours() {
 		h.Neighbours = append(h.Neighbours, tracker.Neighbour{
 			VM: n.GetVm(), Incarnation: n.GetIncarnation(), DataCentre: n.GetDataCentre(),
-			HeardAgo: time.Duration(n.GetHeardAgo()), IsLeaving: n.GetLeaving(),
+			HeardAgo: time.Duration(n.GetHeardAgo()), IsLeaving: n.GetLeaving(), IsState: n.GetIsState(),
 		})
 	}
 	if l := w.GetLoad(); l != nil {
--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -16,13 +16,18 @@
 		d.call(h.Calls[i])
 	}
 	for i := range h.Replies {
-		r := &h.Replies[i]
+		r := h.Replies[i]
+		if r.Entry == d.config.Inner.String() {
+			d.local = append(d.local, func(now time.Time) { d.forwarder.Answer(now, r.Entry, r.Answer, &d.forwardOut) })
+			continue
+		}
 		d.send(now, r.Entry, &wire.Relay{Body: &wire.Relay_Answer{Answer: encodeAnswer(&r.Answer)}})
 	}
 	for i := range h.Notices {
 		report := encodeNotice(&h.Notices[i])
+		dataCentre := h.Notices[i].Upstream.DataCentre
 		for _, p := range d.peers.Heard(now) {
-			if p.IsState {
+			if p.IsState || p.DataCentre == dataCentre {
 				d.send(now, p.VM, &wire.Relay{Body: &wire.Relay_Report{Report: report}})
 			}
 		}
@@ -46,6 +51,10 @@
 }
 
 func (d *Conductor) forward(now time.Time, s *forwarder.Send) {
+	if s.To == d.config.Inner.String() {
+		d.forwardLocally(s)
+		return
+	}
 	if s.Order != nil {
 		d.send(now, s.To, &wire.Relay{Body: &wire.Relay_Order{Order: encodeOrder(s.Order)}})
 		return
@@ -53,6 +62,17 @@
 	d.send(now, s.To, &wire.Relay{Body: &wire.Relay_Cancel{Cancel: encodeCancel(s.Cancel)}})
 }
 
+// forwardLocally hands a job to the holder of this VM.
+func (d *Conductor) forwardLocally(s *forwarder.Send) {
+	self := s.To
+	if order := s.Order; order != nil {
+		d.local = append(d.local, func(now time.Time) { d.holder.Submit(now, self, *order, &d.holderOut) })
+		return
+	}
+	cancel := *s.Cancel
+	d.local = append(d.local, func(now time.Time) { d.holder.Cancel(now, self, cancel.ID, cancel.Everywhere, &d.holderOut) })
+}
+
 // call carries out an order to an upstream; leases and room bound their number.
 func (d *Conductor) call(c holder.Call) {
 	go func() {
--- a/internal/conductor/encoder.go
+++ b/internal/conductor/encoder.go
@@ -15,10 +15,10 @@
 	}
 	for _, n := range h.Neighbours {
 		w.Neighbours = append(w.Neighbours, &wire.Neighbour{
-			Vm: n.VM, Incarnation: n.Incarnation, DataCentre: n.DataCentre, HeardAgo: int64(n.HeardAgo), Leaving: n.IsLeaving,
+			Vm: n.VM, Incarnation: n.Incarnation, DataCentre: n.DataCentre, HeardAgo: int64(n.HeardAgo), Leaving: n.IsLeaving, IsState: n.IsState,
 		})
 	}
-	if !h.IsState {
+	if h.Load.TotalMilliCores == 0 && len(h.Load.Pending) == 0 {
 		return w
 	}
 	w.Load = &wire.HolderLoad{
--- a/internal/conductor/receive.go
+++ b/internal/conductor/receive.go
@@ -78,7 +78,7 @@
 	if news.HasRestarted {
 		d.holder.HolderLost(from)
 	}
-	if d.config.IsState && !h.IsState {
+	if !h.IsState {
 		d.holder.Hear(now, from, incarnation, &d.holderOut)
 	}
 	if h.Configuration > d.version.Load() {
@@ -119,7 +119,6 @@
 	d.put(func(now time.Time) {
 		if !d.config.IsState {
 			d.forwarder.PeerUp(now, vm, &d.forwardOut)
-			return
 		}
 		for _, n := range d.holder.Notices() {
 			d.send(now, vm, &wire.Relay{Body: &wire.Relay_Report{Report: encodeNotice(&n)}})
--- /dev/null
+++ b/internal/conductor/standin.go
@@ -0,0 +1,80 @@
+package conductor
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bronzedrift.example/bronzedrift/internal/holder"
+	"bronzedrift.example/bronzedrift/internal/tracker"
+)
+
+const (
+	// standInAfter is how long an entry that sees no state VM listens to other
+	// entries, which may see one, before it holds upstreams itself.
+	standInAfter = 250 * time.Millisecond
+	// remoteWitnesses is how many entries of each other data centre are asked.
+	remoteWitnesses = 2
+)
+
+// standIn links entries to each other while they see no state VM, so that they
+// hold the upstreams of their data centre meanwhile.
+func (d *Conductor) standIn(now time.Time) {
+	if d.config.IsState {
+		return
+	}
+	if len(d.peers.Holders(now)) > 0 {
+		d.aloneSince = time.Time{}
+		return
+	}
+	if !d.aloneSince.IsZero() {
+		return
+	}
+	d.aloneSince = now
+	d.logDecisions([]holder.Decision{{Event: "state-vms-lost", IsFault: true}})
+	for _, vm := range d.witnesses() {
+		d.link(vm)
+	}
+}
+
+// witnesses returns the entries of this data centre and a few of each other one.
+func (d *Conductor) witnesses() []string {
+	var list []string
+	others := map[string][]*tracker.Peer{}
+	for _, p := range d.peers.Entries() {
+		switch {
+		case p.VM == d.config.Inner.String():
+		case p.DataCentre == d.config.DataCentre:
+			list = append(list, p.VM)
+		default:
+			others[p.DataCentre] = append(others[p.DataCentre], p)
+		}
+	}
+	for _, entries := range others {
+		first := int(xxhash.Sum64String(d.config.Inner.String()) % uint64(len(entries)))
+		for i := range min(remoteWitnesses, len(entries)) {
+			list = append(list, entries[(first+i)%len(entries)].VM)
+		}
+	}
+	return list
+}
+
+// withinReach returns the VMs within reach. To hold upstreams are the state VMs,
+// or the entries of this data centre while none of those is there.
+func (d *Conductor) withinReach(now time.Time) []holder.Peer {
+	self := holder.Peer{VM: d.config.Inner.String(), DataCentre: d.config.DataCentre, CanHold: true}
+	list := d.peers.Holders(now)
+	standsIn := !d.config.IsState && len(list) == 0 && !d.aloneSince.IsZero() &&
+		now.Sub(d.aloneSince) >= standInAfter && d.isSettled(now)
+	if !d.leaving && (d.config.IsState || standsIn) {
+		list = append(list, self)
+	}
+	for _, p := range d.peers.Heard(now) {
+		if p.IsState || p.VM == self.VM {
+			continue
+		}
+		canHold := standsIn && !p.IsLeaving && p.DataCentre == d.config.DataCentre
+		list = append(list, holder.Peer{VM: p.VM, DataCentre: p.DataCentre, CanHold: canHold})
+	}
+	return list
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -192,7 +192,7 @@
 	rack := j.order.Steps[0].DataRack
 	var list []candidate
 	for _, p := range f.peers.Heard(now) {
-		if !p.IsState || p.IsLeaving || p.Load.TotalMilliCores == 0 || slices.Contains(j.tried, p.VM) {
+		if p.IsLeaving || p.Load.TotalMilliCores == 0 || slices.Contains(j.tried, p.VM) {
 			continue
 		}
 		s := f.sent[p.VM]
@@ -349,7 +349,7 @@
 }
 
 func (f *Forwarder) cancelEverywhere(id string) {
-	for _, vm := range f.peers.StateVMs() {
+	for _, vm := range f.peers.Known() {
 		f.out.Sends = append(f.out.Sends, Send{To: vm, Cancel: &Cancel{ID: id, Everywhere: true}})
 	}
 }
--- a/internal/holder/assign.go
+++ b/internal/holder/assign.go
@@ -130,7 +130,7 @@
 				h.out.Notices = append(h.out.Notices, Notice{Upstream: u.Upstream})
 			}
 			if settled && rightful == h.config.VM && !h.isHeldElsewhere(now, u) &&
-				!now.Before(u.retakeAt) && u.takeTries < blindTries {
+				!now.Before(u.retakeAt) && u.takeTries < h.config.BlindTries {
 				h.take(now, u)
 			}
 		case active:
@@ -173,7 +173,7 @@
 func (h *Holder) rightful(u *held) string {
 	best, bestScore, bestLocal := "", uint64(0), false
 	for _, p := range h.peers {
-		if h.leaving && p.VM == h.config.VM {
+		if !p.CanHold || h.leaving && p.VM == h.config.VM {
 			continue
 		}
 		local := p.DataCentre == u.DataCentre
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -12,12 +12,17 @@
 	Timing     Timing
 	// TokenEpoch is the time from which fencing tokens count milliseconds.
 	TokenEpoch time.Time
+	// BlindTries is how often a VM tries to take an upstream that it has not
+	// heard itself since: one behind a partition is left to the VMs there.
+	BlindTries int
 }
 
-// Peer is another VM that can hold upstreams, and is within reach.
+// Peer is a VM within reach.
 type Peer struct {
 	VM         string
 	DataCentre string
+	// CanHold says that the VM is to hold upstreams.
+	CanHold bool
 }
 
 // Holder is the decisions of one VM. It is not safe for concurrent use.
@@ -77,8 +82,8 @@
 	h.entries[vm] = &entry{incarnation: incarnation, heardAt: now}
 }
 
-// SetPeers says which VMs that can hold upstreams are within reach, this one
-// included if it is to hold any.
+// SetPeers says which VMs are within reach, this one included if it is to hold
+// upstreams.
 func (h *Holder) SetPeers(peers []Peer) { h.peers = peers }
 
 // Leave ends new work here: upstreams are handed over as their runs end.
--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -112,10 +112,15 @@
 	if j == nil || j.entry != entryVM && !everywhere {
 		return
 	}
-	if !j.stopping {
-		h.decide(Decision{Event: "job-cancelled", Job: id, Request: j.Request, Peer: entryVM})
-		h.giveUp(now, j, Answer{Outcome: Cancelled})
+	if j.stopping {
+		return
 	}
+	h.decide(Decision{Event: "job-cancelled", Job: id, Request: j.Request, Peer: entryVM})
+	answer := Answer{Outcome: Lost, Reason: "its entry gave the job up"}
+	if everywhere {
+		answer.Outcome = Cancelled
+	}
+	h.giveUp(now, j, answer)
 }
 
 // abandon gives up the jobs of an entry.
@@ -219,6 +224,21 @@
 			h.giveUp(now, j, Answer{Outcome: Busy, Reason: "no place came free in time", Wait: h.backlog(now)})
 		case now.After(j.arrivedAt.Add(j.Remaining)):
 			h.giveUp(now, j, Answer{Outcome: Lost, Reason: "the caller's deadline has passed"})
+		case j.runs == 0 && now.Sub(j.arrivedAt) > strandedAfter && !h.serves(j.Service):
+			h.giveUp(now, j, Answer{Outcome: Lost, Reason: "no upstream is held here any more"})
+		}
+	}
+}
+
+// strandedAfter is how long a job waits here though no upstream of its service
+// is held: longer than taking one lasts.
+const strandedAfter = 100 * time.Millisecond
+
+func (h *Holder) serves(service string) bool {
+	for _, u := range h.upstreams {
+		if u.phase == active && u.Service == service {
+			return true
 		}
 	}
+	return false
 }
--- a/internal/holder/results.go
+++ b/internal/holder/results.go
@@ -158,9 +158,6 @@
 	// takeRetry is the pause after a failed attempt to take an upstream, which
 	// opens a connection each time.
 	takeRetry = 300 * time.Millisecond
-	// blindTries is how often a VM tries to take an upstream that it has not
-	// heard itself since: one behind a partition is left to the VMs there.
-	blindTries = 2
 )
 
 // takeEnds handles the ends that were not seen before.
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -28,13 +28,15 @@
 	Load          holder.Load
 }
 
-// Neighbour is a state VM that the sender of a heartbeat has heard.
+// Neighbour is a VM that the sender of a heartbeat has heard: a state VM, or an
+// entry of the receiver's data centre.
 type Neighbour struct {
 	VM          string
 	Incarnation string
 	DataCentre  string
 	HeardAgo    time.Duration
 	IsLeaving   bool
+	IsState     bool
 }
 
 // Peer is what is known of another VM.
@@ -97,17 +99,19 @@
 	return news
 }
 
-// hearOf takes what another VM says of a state VM, and reports whether it is new.
+// hearOf takes what another VM says of a third one, and reports whether that is a
+// state VM that was not known.
 func (t *Tracker) hearOf(now time.Time, n Neighbour) bool {
 	p := t.peers[n.VM]
 	if p == nil {
 		t.peers[n.VM] = &Peer{
-			Heartbeat: Heartbeat{VM: n.VM, DataCentre: n.DataCentre, IsState: true, IsLeaving: n.IsLeaving},
+			Heartbeat: Heartbeat{VM: n.VM, DataCentre: n.DataCentre, IsState: n.IsState, IsLeaving: n.IsLeaving},
 			SeenAt:    now.Add(-n.HeardAgo),
 		}
-		return true
+		return n.IsState
 	}
-	if at := now.Add(-n.HeardAgo); p.Incarnation == n.Incarnation && at.After(p.SeenAt) {
+	isSameLife := p.Incarnation == n.Incarnation || p.HeardAt.IsZero()
+	if at := now.Add(-n.HeardAgo); isSameLife && at.After(p.SeenAt) {
 		p.SeenAt = at
 		p.IsLeaving = n.IsLeaving
 	}
@@ -162,27 +166,41 @@
 	var list []holder.Peer
 	for vm, p := range t.peers {
 		if p.IsState && p.IsReady && !p.IsLeaving && now.Sub(p.SeenAt) < evidenceSilence {
-			list = append(list, holder.Peer{VM: vm, DataCentre: p.DataCentre})
+			list = append(list, holder.Peer{VM: vm, DataCentre: p.DataCentre, CanHold: true})
 		}
 	}
 	sort.Slice(list, func(i, k int) bool { return list[i].VM < list[k].VM })
 	return list
 }
 
-// Neighbours returns the state VMs to be named in a heartbeat.
-func (t *Tracker) Neighbours(now time.Time) []Neighbour {
+// Neighbours returns the VMs to be named in a heartbeat: the state VMs heard, and
+// the entries heard of one data centre, if it is named.
+func (t *Tracker) Neighbours(now time.Time, dataCentre string) []Neighbour {
 	var list []Neighbour
 	for vm, p := range t.peers {
-		if p.IsState && t.IsHeard(now, vm) {
-			list = append(list, Neighbour{
-				VM: vm, Incarnation: p.Incarnation, DataCentre: p.DataCentre,
-				HeardAgo: now.Sub(p.HeardAt), IsLeaving: p.IsLeaving,
-			})
+		if !t.IsHeard(now, vm) || !p.IsState && (dataCentre == "" || p.DataCentre != dataCentre) {
+			continue
 		}
+		list = append(list, Neighbour{
+			VM: vm, Incarnation: p.Incarnation, DataCentre: p.DataCentre,
+			HeardAgo: now.Sub(p.HeardAt), IsLeaving: p.IsLeaving, IsState: p.IsState,
+		})
 	}
 	return list
 }
 
+// Entries returns the known entries, by name.
+func (t *Tracker) Entries() []*Peer {
+	var list []*Peer
+	for _, p := range t.peers {
+		if !p.IsState {
+			list = append(list, p)
+		}
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].VM < list[k].VM })
+	return list
+}
+
 // Forget drops and returns the VMs that were not seen for long.
 func (t *Tracker) Forget(now time.Time) []string {
 	var gone []string
