Lost orders to upstreams cost less: doubt about one run no longer closes its upstream

Orders that are carried out late got no answer for 200 ms; the doubtful run then kept its whole upstream from new runs and from renewals, so that the leases of its neighbours lapsed; a lost list was noticed after 350 ms, ends were seen late and runs were taken for stuck; upstreams behind a partition were tried again and again.

Change: a start is given up after 100 ms and its stop repeated; leases beside it are renewed for 250 ms; lists are asked for again when an end is overdue; a run counts as stuck only by a fresh list; an upstream that left a list unanswered gets no new runs until it answers. Stand-ins: only the entry's own data centre, handed back by quarters, taken as soon as other entries had time to speak.

World test and holder tests pass.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -155,6 +155,7 @@
 	}
 	if !c.IsState {
 		h.BlindTries = math.MaxInt
+		h.OnlyOwnDataCentre = true
 		h.Timing.UpstreamSilence = standInMemory
 	}
 	return h
--- a/internal/conductor/receive.go
+++ b/internal/conductor/receive.go
@@ -120,7 +120,11 @@
 		if !d.config.IsState {
 			d.forwarder.PeerUp(now, vm, &d.forwardOut)
 		}
+		peer := d.peers.Peer(vm)
 		for _, n := range d.holder.Notices() {
+			if peer != nil && !peer.IsState && peer.DataCentre != n.Upstream.DataCentre {
+				continue
+			}
 			d.send(now, vm, &wire.Relay{Body: &wire.Relay_Report{Report: encodeNotice(&n)}})
 		}
 	})
--- a/internal/conductor/standin.go
+++ b/internal/conductor/standin.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// standInAfter is how long an entry that sees no state VM listens to other
-	// entries, which may see one, before it holds upstreams itself.
+	// standInAfter is how long an entry that hears no state VM listens to other
+	// entries, which may hear one, before it holds upstreams itself.
 	standInAfter = 250 * time.Millisecond
 	// remoteWitnesses is how many entries of each other data centre are asked.
 	remoteWitnesses = 2
@@ -23,7 +23,7 @@
 	if d.config.IsState {
 		return
 	}
-	if len(d.peers.Holders(now)) > 0 {
+	if d.hearsStateVM(now) {
 		d.aloneSince = time.Time{}
 		return
 	}
@@ -37,6 +37,15 @@
 	}
 }
 
+func (d *Conductor) hearsStateVM(now time.Time) bool {
+	for _, p := range d.peers.Heard(now) {
+		if p.IsState {
+			return true
+		}
+	}
+	return false
+}
+
 // witnesses returns the entries of this data centre and a few of each other one.
 func (d *Conductor) witnesses() []string {
 	var list []string
--- a/internal/holder/assign.go
+++ b/internal/holder/assign.go
@@ -134,7 +134,7 @@
 				h.take(now, u)
 			}
 		case active:
-			if rightful != h.config.VM && rightful != "" {
+			if rightful != h.config.VM && rightful != "" && h.mayRelease() {
 				u.phase = releasing
 			}
 		case releasing:
@@ -145,6 +145,28 @@
 	}
 }
 
+// releaseShare is the part of the upstreams held that is handed over at a time,
+// since those take no new runs until the present ones have ended.
+const releaseShare = 4
+
+// mayRelease reports whether one more upstream may be handed over now.
+func (h *Holder) mayRelease() bool {
+	if h.leaving {
+		return true
+	}
+	holds, releases := 0, 0
+	for _, u := range h.upstreams {
+		switch u.phase {
+		case active:
+			holds++
+		case releasing:
+			holds++
+			releases++
+		}
+	}
+	return releases < (holds+releaseShare-1)/releaseShare
+}
+
 // isHeldElsewhere reports whether a VM within reach has said lately that it
 // holds the upstream.
 func (h *Holder) isHeldElsewhere(now time.Time, u *held) bool {
@@ -177,6 +199,9 @@
 			continue
 		}
 		local := p.DataCentre == u.DataCentre
+		if h.config.OnlyOwnDataCentre && p.VM == h.config.VM && !local {
+			continue
+		}
 		score := xxhash.Sum64String(p.VM + "/" + u.ID)
 		if best == "" || local && !bestLocal || local == bestLocal && score > bestScore {
 			best, bestScore, bestLocal = p.VM, score, local
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -31,9 +31,13 @@
 	holdOut           bool
 	holdSentAt        time.Time
 	holdRetryAt       time.Time
-	speed             float64
-	failures          int
-	pausedUntil       time.Time
+	// listedAt is when the upstream last told what runs there.
+	listedAt time.Time
+	// isSilent says that it left the last such call unanswered.
+	isSilent    bool
+	speed       float64
+	failures    int
+	pausedUntil time.Time
 }
 
 type phase int
@@ -77,14 +81,14 @@
 
 // isUsable reports whether new runs may start there.
 func (u *held) isUsable(now time.Time) bool {
-	return u.phase == active && u.State == Ready && !now.Before(u.pausedUntil) && !u.hasDoubt()
+	return u.phase == active && u.State == Ready && !now.Before(u.pausedUntil) && !u.isSilent && !u.hasDoubt(now)
 }
 
-// hasDoubt reports whether a run there may go on against our will. Then no lease
-// is renewed, so that it ends at the latest with its lease.
-func (u *held) hasDoubt() bool {
+// hasDoubt reports whether a run there goes on against our will, as stops of it
+// are not confirmed. Then no lease is renewed, so that it ends with its lease.
+func (u *held) hasDoubt(now time.Time) bool {
 	for _, r := range u.runs {
-		if r.state == doubtful {
+		if r.state == doubtful && !r.doubtedAt.IsZero() && now.Sub(r.doubtedAt) > doubtLimit {
 			return true
 		}
 	}
@@ -110,7 +114,7 @@
 		Kind: HoldCall, Upstream: u.ID, Address: u.Address, Token: u.token, LastEnd: u.lastEnd,
 		Wait: wait, Timeout: wait + h.config.Timing.CallTimeout, SentAt: now,
 	}
-	if u.phase != taking && len(u.runs) > 0 && u.clock.isKnown() && !u.hasDoubt() {
+	if u.phase != taking && len(u.runs) > 0 && u.clock.isKnown() && !u.hasDoubt(now) {
 		c.LeaseUntil = h.lease(now, u)
 	}
 	u.holdOut, u.holdSentAt = true, now
@@ -137,7 +141,11 @@
 	for _, r := range u.runs {
 		h.tendRun(now, u, r)
 	}
-	if u.holdOut || now.Before(u.holdRetryAt) {
+	if u.holdOut {
+		h.askAgain(now, u)
+		return
+	}
+	if now.Before(u.holdRetryAt) {
 		return
 	}
 	switch {
@@ -147,11 +155,29 @@
 		h.hold(now, u, h.config.Timing.StopTime)
 	case len(u.runs) > 0:
 		h.hold(now, u, h.config.Timing.HoldWait)
-	case u.lastEnd > u.ackedEnd && now.Sub(u.endsAt) >= endAckDelay:
+	case u.isSilent, u.lastEnd > u.ackedEnd && now.Sub(u.endsAt) >= endAckDelay:
 		h.hold(now, u, 0)
 	}
 }
 
+// askAgain lists the runs beside a call that waits, where what that call says may
+// be out of date or lost.
+func (h *Holder) askAgain(now time.Time, u *held) {
+	if u.phase == taking {
+		return
+	}
+	asked := now.Sub(u.holdSentAt)
+	for _, r := range u.runs {
+		isStopped := r.state == stopping && u.holdSentAt.Before(r.settled) && now.Sub(r.settled) > h.config.Timing.StopTime
+		due := r.sentAt.Add(time.Duration(float64(r.expected) * overdueFactor))
+		isOverdue := r.state == running && now.After(due) && asked > overdueEvery
+		if isStopped || isOverdue {
+			h.hold(now, u, 0)
+			return
+		}
+	}
+}
+
 func (u *held) hasStopping() bool {
 	for _, r := range u.runs {
 		if r.state == stopping || r.state == doubtful {
@@ -167,7 +193,7 @@
 	switch {
 	case r.state == doubtful && !r.stopOut:
 		h.stop(now, u, r)
-	case r.state == running && !r.straggler && now.Sub(r.sentAt) > limit && !r.isProgressing(now):
+	case r.state == running && !r.straggler && now.Sub(r.sentAt) > limit && now.Sub(u.listedAt) < freshness && !r.isProgressing(now):
 		r.straggler = true
 		h.decide(Decision{
 			Event: "run-stuck", Job: r.task.job.ID, Task: r.task.name, Run: r.number, Upstream: u.ID,
@@ -189,7 +215,10 @@
 }
 
 func (h *Holder) stop(now time.Time, u *held, r *run) {
-	r.stopOut, r.stopSent = true, now
+	r.stopOut = true
+	if r.doubtedAt.IsZero() {
+		r.doubtedAt = now
+	}
 	h.out.Calls = append(h.out.Calls, Call{
 		Kind: StopCall, Upstream: u.ID, Address: u.Address, Token: u.token, Task: r.task.name, Run: r.number,
 		Timeout: h.config.Timing.CallTimeout, SentAt: now,
--- a/internal/holder/job.go
+++ b/internal/holder/job.go
@@ -43,7 +43,8 @@
 	percent  int
 	// discarded says that its end decides nothing any more.
 	discarded bool
-	stopSent  time.Time
+	// doubtedAt is when the run was first told to stop.
+	doubtedAt time.Time
 	stopOut   bool
 	straggler bool
 }
--- a/internal/holder/place.go
+++ b/internal/holder/place.go
@@ -142,7 +142,7 @@
 
 // startTimeout bounds a start: an upstream answers at once, and the task is
 // placed elsewhere the sooner the shorter it is.
-const startTimeout = 200 * time.Millisecond
+const startTimeout = 100 * time.Millisecond
 
 // expectedWait is how long an order would wait for places here: none if all its
 // first tasks fit now and nothing waits before them.
@@ -228,7 +228,7 @@
 	}
 	speed := 0.0
 	for _, u := range h.upstreams {
-		if u.phase == active && u.State == Ready && now.After(u.pausedUntil) {
+		if u.isUsable(now) {
 			speed += u.speed * float64(u.Capacity.MilliCores) * packing
 		}
 	}
--- a/internal/holder/results.go
+++ b/internal/holder/results.go
@@ -133,25 +133,38 @@
 	if result.Call.Token != u.token || u.phase == notHeld {
 		return
 	}
-	if !result.Call.SentAt.Equal(u.holdSentAt) {
-		return
+	isNewest := result.Call.SentAt.Equal(u.holdSentAt)
+	if isNewest {
+		u.holdOut = false
 	}
-	u.holdOut = false
 	if result.Status != CallOK {
-		u.holdRetryAt = now.Add(holdRetry)
-		if u.phase == taking {
-			u.phase, u.holder = notHeld, ""
-			u.takeTries++
-			u.retakeAt = now.Add(takeRetry)
+		if isNewest {
+			h.holdFailed(now, u, result)
 		}
-		h.decide(Decision{Event: "hold-failed", Upstream: u.ID, Reason: result.Text, IsFault: true})
 		return
 	}
+	u.isSilent, u.listedAt = false, now
 	u.ackedEnd = max(u.ackedEnd, result.Call.LastEnd)
 	ended := h.takeEnds(now, u, result.Ended)
 	h.takeRunning(now, u, result, ended)
 }
 
+// holdFailed keeps new runs away until the upstream answers again.
+func (h *Holder) holdFailed(now time.Time, u *held, result *CallResult) {
+	h.decide(Decision{Event: "hold-failed", Upstream: u.ID, Reason: result.Text, IsFault: true})
+	if u.phase == taking {
+		u.phase, u.holder, u.isSilent = notHeld, "", false
+		u.takeTries++
+		u.retakeAt = now.Add(takeRetry)
+		return
+	}
+	u.holdRetryAt = now.Add(holdRetry)
+	if u.isSilent {
+		u.holdRetryAt = now.Add(probeEvery)
+	}
+	u.isSilent = true
+}
+
 const (
 	// holdRetry is the pause after a failed renewal: a lease outlasts several.
 	holdRetry = 20 * time.Millisecond
--- a/internal/holder/timing.go
+++ b/internal/holder/timing.go
@@ -30,7 +30,7 @@
 func DefaultTiming() Timing {
 	return Timing{
 		Silence: 400 * time.Millisecond, Lease: 600 * time.Millisecond, HoldWait: 200 * time.Millisecond,
-		CallTimeout: 150 * time.Millisecond, StopTime: 50 * time.Millisecond, ClockDrift: 0.02,
+		CallTimeout: 100 * time.Millisecond, StopTime: 50 * time.Millisecond, ClockDrift: 0.02,
 		Settle: 600 * time.Millisecond, UpstreamSilence: 6 * time.Second, RemoteFactor: 3,
 	}
 }
@@ -38,12 +38,24 @@
 // Chain returns how long after the last word to a holder a run may still go on.
 func (t Timing) Chain() time.Duration {
 	lease := time.Duration(float64(t.Lease) * (1 + t.ClockDrift))
-	return t.Silence + tickSlack + t.CallTimeout + lease
+	return t.Silence + tickSlack + doubtLimit + lease
 }
 
 const (
 	// tickSlack is by how much a decision that waits for time may be late.
 	tickSlack = 50 * time.Millisecond
+	// doubtLimit is how long leases are renewed beside a run whose stop is not
+	// confirmed: two lost stops.
+	doubtLimit = 250 * time.Millisecond
+	// probeEvery is the pause between calls to an upstream that has not answered.
+	probeEvery = 200 * time.Millisecond
+	// overdueFactor times its expected run time, and overdueEvery, is when the end
+	// of a run is asked for though a call waits for it: that call may be lost.
+	overdueFactor = 1.5
+	overdueEvery  = 60 * time.Millisecond
+	// freshness is the age of the last list of runs up to which a run that is not
+	// listed as ended counts as stuck.
+	freshness = 100 * time.Millisecond
 	// answerMemory is how long answers are kept for orders that come again.
 	answerMemory = 5 * time.Second
 	// cancelMemory is how long the id of a cancelled job refuses new orders:
