Service returns sooner after all VMs were killed

Entries had no configuration until a leader was elected (0.6 s), holders waited 600 ms, took upstreams from each other because readiness came with a heartbeat, and links back were dialled after up to 0.5 s. Ruled out: the upstreams' reports (most had come by 43.4 s).

Change: the commit index is saved, so that a replica knows what is committed before an election; a starting replica asks for votes sooner; a peer that dials wakes the link back; who should hold an upstream no longer depends on readiness; state VMs remember upstreams on their disks; a job with time to spare waits for a holder that is starting.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -66,6 +66,7 @@
 	messenger   *messenger.Messenger
 	keeper      *keeper.Keeper
 	ring        *recorder.Ring
+	disk        *storer.Disk
 	peers       *tracker.Tracker
 	holder      *holder.Holder
 	forwarder   *forwarder.Forwarder
@@ -204,6 +205,8 @@
 			return fmt.Errorf("conductor: %w", err)
 		}
 		c.Disk = disk
+		d.disk = disk
+		d.recall(disk)
 	}
 	if d.config.IsFounding {
 		for _, s := range d.config.Seeds {
@@ -230,6 +233,9 @@
 	supervisor.Add(duty{"decisions", d.decide})
 	supervisor.Add(duty{"messenger", d.messenger.Serve})
 	supervisor.Add(duty{"keeper", d.keeper.Serve})
+	if d.disk != nil {
+		supervisor.Add(duty{"memory", d.remember})
+	}
 	d.event(recorder.Event{Number: recorder.DaemonStarted, Task: recorder.NoTask})
 	err := supervisor.Serve(ctx)
 	d.event(recorder.Event{Number: recorder.DaemonStopped, Task: recorder.NoTask})
--- a/internal/conductor/standin.go
+++ b/internal/conductor/standin.go
@@ -60,7 +60,7 @@
 		}
 	}
 	for _, entries := range others {
-		first := int(xxhash.Sum64String(d.config.Inner.String()) % uint64(len(entries)))
+		first := int(hash(d.config.Inner.String()) % uint64(len(entries)))
 		for i := range min(remoteWitnesses, len(entries)) {
 			list = append(list, entries[(first+i)%len(entries)].VM)
 		}
@@ -71,7 +71,7 @@
 // withinReach returns the VMs within reach. To hold upstreams are the state VMs,
 // or the entries of this data centre while none of those is there.
 func (d *Conductor) withinReach(now time.Time) []holder.Peer {
-	self := holder.Peer{VM: d.config.Inner.String(), DataCentre: d.config.DataCentre, CanHold: true}
+	self := holder.Peer{VM: d.config.Inner.String(), DataCentre: d.config.DataCentre, CanHold: true, IsReady: d.isSettled(now)}
 	list := d.peers.Holders(now)
 	standsIn := !d.config.IsState && len(list) == 0 && !d.aloneSince.IsZero() &&
 		now.Sub(d.aloneSince) >= standInAfter && d.isSettled(now)
@@ -83,7 +83,9 @@
 			continue
 		}
 		canHold := standsIn && !p.IsLeaving && p.DataCentre == d.config.DataCentre
-		list = append(list, holder.Peer{VM: p.VM, DataCentre: p.DataCentre, CanHold: canHold})
+		list = append(list, holder.Peer{VM: p.VM, DataCentre: p.DataCentre, CanHold: canHold, IsReady: canHold})
 	}
 	return list
 }
+
+func hash(s string) uint64 { return xxhash.Sum64String(s) }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -143,6 +143,10 @@
 		j.order.AcceptLate = true
 		vm = j.leastVM
 	}
+	if vm == "" && j.leastVM == "" && f.expectsHolder(now) && now.Before(j.waitsUntil()) {
+		j.to = ""
+		return
+	}
 	if vm == "" {
 		f.refuse(now, j)
 		return
@@ -155,6 +159,26 @@
 	f.send(now, j)
 }
 
+// expectsHolder reports whether a state VM is within reach that may hold upstreams
+// in a moment.
+func (f *Forwarder) expectsHolder(now time.Time) bool {
+	for _, p := range f.peers.Heard(now) {
+		if p.IsState && !p.IsLeaving {
+			return true
+		}
+	}
+	return false
+}
+
+// waitsUntil is how long a job may wait for a holder: while it can still end on
+// time, and no longer than a holder needs to take upstreams.
+func (j *job) waitsUntil() time.Time {
+	return j.arrivedAt.Add(min(j.order.Objective-j.order.Chain(), holderWait))
+}
+
+// holderWait is how long a state VM that has started needs to hold upstreams.
+const holderWait = 600 * time.Millisecond
+
 func (f *Forwarder) send(now time.Time, j *job) {
 	o := j.order
 	o.Remaining -= now.Sub(j.arrivedAt)
@@ -241,7 +265,7 @@
 			result = Failed
 		}
 		if !isCurrent {
-			out.Sends = append(out.Sends, Send{To: j.to, Cancel: &Cancel{ID: a.ID}})
+			f.withdraw(j)
 		}
 		f.answer(now, j, Verdict{Result: result, Reason: a.Reason})
 	case holder.Cancelled:
@@ -338,7 +362,14 @@
 	}
 	delete(f.jobs, id)
 	f.decide(holder.Decision{Event: "caller-gone", Job: id, Request: j.order.Request, Peer: j.to, Wait: now.Sub(j.arrivedAt)})
-	out.Sends = append(out.Sends, Send{To: j.to, Cancel: &Cancel{ID: id}})
+	f.withdraw(j)
+}
+
+// withdraw gives up a job at its holder.
+func (f *Forwarder) withdraw(j *job) {
+	if j.to != "" {
+		f.out.Sends = append(f.out.Sends, Send{To: j.to, Cancel: &Cancel{ID: j.order.ID}})
+	}
 }
 
 // CancelJob gives up a job wherever it is, as its caller has asked.
@@ -388,10 +419,14 @@
 // tend gives up a job whose deadline has passed or whose holder is lost.
 func (f *Forwarder) tend(now time.Time, j *job) {
 	if now.After(j.arrivedAt.Add(j.order.Remaining)) {
-		f.out.Sends = append(f.out.Sends, Send{To: j.to, Cancel: &Cancel{ID: j.order.ID}})
+		f.withdraw(j)
 		f.answer(now, j, Verdict{Result: TimedOut, Reason: "the caller's deadline has passed"})
 		return
 	}
+	if j.to == "" {
+		f.forward(now, j)
+		return
+	}
 	p := f.peers.Peer(j.to)
 	if j.lostAt.IsZero() {
 		if p != nil && f.peers.IsHeard(now, j.to) && p.Incarnation == j.toLife {
@@ -414,7 +449,7 @@
 	}
 	j.started = true
 	f.decide(holder.Decision{Event: "holder-lost", Job: j.order.ID, Request: j.order.Request, Peer: j.to, IsFault: true})
-	f.out.Sends = append(f.out.Sends, Send{To: j.to, Cancel: &Cancel{ID: j.order.ID}})
+	f.withdraw(j)
 	end := j.lostAt.Add(f.timing.Chain() + j.order.Chain())
 	if end.After(j.arrivedAt.Add(min(lateFactor*j.order.Objective, j.order.Remaining))) {
 		f.giveUp(now, j, "its holder is not within reach")
--- a/internal/forwarder/world_test.go
+++ b/internal/forwarder/world_test.go
@@ -280,7 +280,7 @@
 	}
 	h.lastTick = w.now
 	peers := h.peers.Holders(w.now)
-	peers = append(peers, holder.Peer{VM: h.name, DataCentre: h.dataCentre, CanHold: true})
+	peers = append(peers, holder.Peer{VM: h.name, DataCentre: h.dataCentre, CanHold: true, IsReady: true})
 	h.holder.SetPeers(peers)
 	h.holder.Tick(w.now, &out)
 	w.carryOutHolder(h, &out)
--- a/internal/holder/assign.go
+++ b/internal/holder/assign.go
@@ -134,7 +134,7 @@
 				h.take(now, u)
 			}
 		case active:
-			if rightful != h.config.VM && rightful != "" && h.mayRelease() {
+			if rightful != h.config.VM && h.isReady(rightful) && h.mayRelease() {
 				u.phase = releasing
 			}
 		case releasing:
@@ -149,6 +149,15 @@
 // since those take no new runs until the present ones have ended.
 const releaseShare = 4
 
+func (h *Holder) isReady(vm string) bool {
+	for _, p := range h.peers {
+		if p.VM == vm {
+			return p.IsReady
+		}
+	}
+	return false
+}
+
 // mayRelease reports whether one more upstream may be handed over now.
 func (h *Holder) mayRelease() bool {
 	if h.leaving {
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -26,6 +26,8 @@
 	DataCentre string
 	// CanHold says that the VM is to hold upstreams.
 	CanHold bool
+	// IsReady says that it takes upstreams now.
+	IsReady bool
 }
 
 // Holder is the decisions of one VM. It is not safe for concurrent use.
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -38,7 +38,7 @@
 			h := New(testStart, Config{
 				VM: "1", DataCentre: "a", Timing: DefaultTiming(), TokenEpoch: testStart, BlindTries: 2, OnlyOwnDataCentre: c.only,
 			})
-			h.SetPeers([]Peer{{VM: "1", DataCentre: "a", CanHold: true}})
+			h.SetPeers([]Peer{{VM: "1", DataCentre: "a", CanHold: true, IsReady: true}})
 			var out Effects
 			h.Report(testStart, testUpstream("u", c.upstream), &out)
 			assert.Len(t, callsAfter(h, testStart), c.takes)
--- a/internal/holder/timing.go
+++ b/internal/holder/timing.go
@@ -31,7 +31,7 @@
 	return Timing{
 		Silence: 400 * time.Millisecond, Lease: 600 * time.Millisecond, HoldWait: 200 * time.Millisecond,
 		CallTimeout: 100 * time.Millisecond, StopTime: 50 * time.Millisecond, ClockDrift: 0.02,
-		Settle: 600 * time.Millisecond, UpstreamSilence: 6 * time.Second, RemoteFactor: 3,
+		Settle: 250 * time.Millisecond, UpstreamSilence: 6 * time.Second, RemoteFactor: 3,
 	}
 }
 
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -34,7 +34,9 @@
 	peer      Peer
 	ring      chan outgoing
 	overflow  chan struct{}
-	stop      context.CancelFunc
+	// wake ends a pause between dials: the peer has just dialled this VM.
+	wake chan struct{}
+	stop context.CancelFunc
 }
 
 // outgoing is one message for a peer: the dispatcher's, the log's, or one
@@ -50,6 +52,7 @@
 		messenger: m, peer: p,
 		ring:     make(chan outgoing, m.config.RingSize),
 		overflow: make(chan struct{}, 1),
+		wake:     make(chan struct{}, 1),
 		stop:     func() {},
 	}
 }
@@ -91,6 +94,8 @@
 func (l *link) pause(ctx context.Context, delay time.Duration) time.Duration {
 	select {
 	case <-ctx.Done():
+	case <-l.wake:
+		return redialDelay
 	case <-time.After(delay):
 	}
 	return min(2*delay, redialMax)
@@ -263,9 +268,13 @@
 // admit accepts a known peer, or any where the messenger admits all.
 func (m *Messenger) admit(greeting *wire.Greeting) error {
 	m.mu.RLock()
-	known := m.links[greeting.GetVm()] != nil
+	l := m.links[greeting.GetVm()]
 	m.mu.RUnlock()
-	if known {
+	if l != nil {
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
 		return nil
 	}
 	inner, err := netip.ParseAddrPort(greeting.GetVm())
--- a/internal/replicator/message.go
+++ b/internal/replicator/message.go
@@ -23,10 +23,13 @@
 	Members []Member
 }
 
-// HardState is what a replica must not forget.
+// HardState is what a replica must not forget. Commit is a hint that may lag: up
+// to it the saved log is surely committed, so that a replica that starts knows a
+// configuration before a leader is elected.
 type HardState struct {
-	Term uint64
-	Vote string
+	Term   uint64
+	Vote   string
+	Commit uint64
 }
 
 // Snapshot is the state after an entry, in place of all entries up to it.
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -57,6 +57,8 @@
 	unsavedAt uint64
 	termStart uint64
 	tended    bool
+	// savedCommit is the commit index on disk.
+	savedCommit uint64
 }
 
 // progress is what a leader knows of one other member.
@@ -96,11 +98,19 @@
 		r.log.first = 1
 	}
 	r.log.entries = saved.Entries
+	r.commit = max(r.commit, min(saved.Hard.Commit, r.log.last()))
+	r.savedCommit = saved.Hard.Commit
+	r.hard.Commit, r.synced.Commit = 0, 0
 	r.refreshMembers(saved.Snapshot)
-	r.resetElection(now)
+	r.electAt = now.Add(r.timing.Election/startPatience + time.Duration(r.random.Int64N(int64(r.timing.Election))))
 	return r
 }
 
+// startPatience divides the election timeout of a replica that starts: if there is
+// a leader, the pre-vote does not disturb it, and if all have restarted, nobody
+// has to wait for a leader that was.
+const startPatience = 4
+
 // Bootstrap makes an empty replica the only voter of a new group.
 func (r *Replicator) Bootstrap(now time.Time, out *Effects) error {
 	if len(r.members) > 0 || r.log.last() > 0 {
@@ -118,6 +128,9 @@
 // Tick lets time pass.
 func (r *Replicator) Tick(now time.Time, out *Effects) {
 	r.out = out
+	if r.commit > r.savedCommit {
+		r.saveHard()
+	}
 	switch {
 	case r.role == Leader:
 		r.leaderTick(now)
@@ -205,9 +218,7 @@
 // finish gives out what has to be saved and applied.
 func (r *Replicator) finish() {
 	if r.hard != r.synced {
-		hard := r.hard
-		r.out.Hard = &hard
-		r.synced = hard
+		r.saveHard()
 	}
 	if r.unsavedAt > 0 {
 		r.out.Save = append(r.out.Save, r.log.from(r.unsavedAt)...)
@@ -222,6 +233,13 @@
 	r.out = nil
 }
 
+func (r *Replicator) saveHard() {
+	hard := r.hard
+	hard.Commit = r.commit
+	r.out.Hard = &hard
+	r.synced, r.savedCommit = r.hard, r.commit
+}
+
 func (r *Replicator) appendEntries(entries []Entry) {
 	if len(entries) == 0 {
 		return
--- a/internal/storer/encoder.go
+++ b/internal/storer/encoder.go
@@ -14,7 +14,7 @@
 var errRecord = errors.New("storer: the record is of no known kind")
 
 func encodeHard(h *replicator.HardState) []byte {
-	return marshal(&wire.Record{Hard: &wire.HardState{Term: h.Term, Vote: h.Vote}})
+	return marshal(&wire.Record{Hard: &wire.HardState{Term: h.Term, Vote: h.Vote, Commit: h.Commit}})
 }
 
 func encodeEntry(e *replicator.Entry) []byte {
@@ -52,7 +52,7 @@
 	}
 	switch {
 	case w.GetHard() != nil:
-		saved.Hard = replicator.HardState{Term: w.GetHard().GetTerm(), Vote: w.GetHard().GetVote()}
+		saved.Hard = replicator.HardState{Term: w.GetHard().GetTerm(), Vote: w.GetHard().GetVote(), Commit: w.GetHard().GetCommit()}
 		return nil
 	case w.GetEntry() != nil:
 		return addEntry(saved, DecodeEntry(w.GetEntry()))
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -160,13 +160,13 @@
 	return list
 }
 
-// Holders returns the state VMs that can hold upstreams and are alive as far as
-// this VM or others can tell.
+// Holders returns the state VMs that are alive as far as this VM or others can
+// tell.
 func (t *Tracker) Holders(now time.Time) []holder.Peer {
 	var list []holder.Peer
 	for vm, p := range t.peers {
-		if p.IsState && p.IsReady && !p.IsLeaving && now.Sub(p.SeenAt) < evidenceSilence {
-			list = append(list, holder.Peer{VM: vm, DataCentre: p.DataCentre, CanHold: true})
+		if p.IsState && !p.IsLeaving && now.Sub(p.SeenAt) < evidenceSilence {
+			list = append(list, holder.Peer{VM: vm, DataCentre: p.DataCentre, CanHold: true, IsReady: p.IsReady})
 		}
 	}
 	sort.Slice(list, func(i, k int) bool { return list[i].VM < list[k].VM })
