After a partition or a power loss fewer upstreams are taken from VMs that hold them

VMs that had dialled a dark peer waited 500 ms; a VM that started first took all upstreams; who lost an upstream did not say so, so that 22 stayed without holder for 3 s; after a healed partition VMs heard upstreams before their holders and fenced these.

Change: dials are given up after 150 ms and made anew when the peer dials; a VM waits up to 500 ms for its seeds; a lost or released hold is told; an upstream of another data centre is taken 600 ms after it was heard. After a restart one configuration is put in force in place of all that ever were; only the leader pushes a new one.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -136,7 +136,7 @@
 	}
 	d.startedAt = now()
 	d.lastAt = d.startedAt
-	d.holder = holder.New(d.startedAt, holderConfig(&c))
+	d.holder = holder.New(holderConfig(&c))
 	d.forwarder = forwarder.New(c.DataCentre, c.Timing, d.peers)
 	d.stateVMs.Store(&[]string{})
 	if err := d.openMessenger(); err != nil {
@@ -342,10 +342,25 @@
 	return false
 }
 
+// isSettled reports whether this VM has listened long enough to know who holds
+// what: less where all seeds were heard.
 func (d *Conductor) isSettled(now time.Time) bool {
-	return now.Sub(d.startedAt) >= d.config.Timing.Settle
+	age := now.Sub(d.startedAt)
+	settle := d.config.Timing.Settle
+	if age < settle || age >= settlePatience*settle {
+		return age >= settle
+	}
+	for _, s := range d.config.Seeds {
+		if s != d.config.Inner && !d.peers.IsHeard(now, s.String()) {
+			return false
+		}
+	}
+	return true
 }
 
+// settlePatience times the settling time is how long a VM waits for its seeds.
+const settlePatience = 2
+
 // beat tells all peers that this VM is alive, and what it offers. State VMs also
 // tell entries, more seldom, of the other entries of their data centre.
 func (d *Conductor) beat(now time.Time) {
--- a/internal/holder/assign.go
+++ b/internal/holder/assign.go
@@ -10,10 +10,25 @@
 // Report takes a heartbeat that an upstream has sent to this VM.
 func (h *Holder) Report(now time.Time, u Upstream, out *Effects) {
 	h.out = out
-	if known := h.learn(now, u); known != nil {
-		known.heardAt = now
+	known := h.learn(now, u)
+	if known == nil {
+		return
+	}
+	known.heardAt = now
+	if known.takeTries > 0 {
 		known.takeTries = 0
+		known.retakeAt = h.remoteTakeAt(now, known)
+	}
+}
+
+// remoteTakeAt returns when an upstream that has just been heard may be taken: one
+// of another data centre only once its own VMs had time to be heard too, since
+// after a partition it is heard before they are.
+func (h *Holder) remoteTakeAt(now time.Time, u *held) time.Time {
+	if u.DataCentre == h.config.DataCentre {
+		return now
 	}
+	return now.Add(remoteTakeDelay)
 }
 
 // Left forgets an upstream that has said that it ends, whatever its messages
@@ -59,6 +74,7 @@
 		u = &held{Upstream: n, runs: map[runKey]*run{}, speed: 1}
 		h.upstreams[n.ID] = u
 		u.heardAt = now
+		u.retakeAt = h.remoteTakeAt(now, u)
 		u.observeClock(now, n.Clock)
 		h.decide(Decision{Event: "upstream-learnt", Upstream: n.ID, Reason: n.Address.String()})
 		h.out.Notices = append(h.out.Notices, Notice{Upstream: n})
@@ -110,7 +126,7 @@
 
 // assign takes and gives up upstreams as the VMs within reach change.
 func (h *Holder) assign(now time.Time) {
-	settled := now.Sub(h.startedAt) >= h.config.Timing.Settle
+	settled := h.isReady(h.config.VM)
 	for id, u := range h.upstreams {
 		if u.State == Gone {
 			if now.Sub(u.tombstoneAt) > cancelMemory {
@@ -184,7 +200,7 @@
 	}
 	for _, p := range h.peers {
 		if p.VM == u.holder {
-			return now.Sub(u.noticedAt) < 2*noticeEvery
+			return now.Sub(u.noticedAt) < noticeMemory
 		}
 	}
 	return false
@@ -250,10 +266,11 @@
 func (h *Holder) Handover(now time.Time, from string, id string, token uint64, out *Effects) {
 	h.out = out
 	u := h.upstreams[id]
-	if u == nil || u.phase != notHeld || u.holder != from && u.holder != "" {
+	if u == nil || u.phase != notHeld || token < u.token {
 		return
 	}
-	u.holder, u.token = "", max(u.token, token)
+	h.decide(Decision{Event: "upstream-offered", Upstream: id, Peer: from})
+	u.holder, u.token = "", token
 	u.retakeAt = time.Time{}
 	if h.rightful(u) == h.config.VM && !h.leaving {
 		h.take(now, u)
@@ -265,6 +282,7 @@
 	to := h.rightful(u)
 	u.phase = notHeld
 	u.holder = ""
+	h.out.Notices = append(h.out.Notices, Notice{Upstream: u.Upstream, Token: u.token})
 	h.decide(Decision{Event: "upstream-released", Upstream: u.ID, Peer: to})
 	if to != "" && to != h.config.VM {
 		u.holder, u.noticedAt = to, now
@@ -278,6 +296,7 @@
 	h.decide(Decision{Event: "upstream-fenced", Upstream: u.ID, IsFault: true})
 	u.phase = notHeld
 	u.holder = ""
+	h.out.Notices = append(h.out.Notices, Notice{Upstream: u.Upstream, Token: u.token})
 	u.retakeAt = now.Add(retakeDelay)
 	u.token += fencedStep << tokenBits
 	for _, r := range u.runs {
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -33,7 +33,6 @@
 // Holder is the decisions of one VM. It is not safe for concurrent use.
 type Holder struct {
 	config    Config
-	startedAt time.Time
 	upstreams map[string]*held
 	jobs      map[string]*job
 	queue     []*job
@@ -69,10 +68,10 @@
 	return r.entry == entryVM && r.answer.Attempt >= o.Attempt
 }
 
-// New returns a Holder that starts at the present time and holds nothing.
-func New(now time.Time, c Config) *Holder {
+// New returns a Holder that holds nothing.
+func New(c Config) *Holder {
 	return &Holder{
-		config: c, startedAt: now, upstreams: map[string]*held{}, jobs: map[string]*job{},
+		config: c, upstreams: map[string]*held{}, jobs: map[string]*job{},
 		answers: map[string]remembered{}, cancelled: map[string]time.Time{}, entries: map[string]*entry{},
 	}
 }
--- a/internal/holder/timing.go
+++ b/internal/holder/timing.go
@@ -63,11 +63,15 @@
 	cancelMemory = 15 * time.Second
 	// noticeEvery is how often a VM repeats to the others what it holds.
 	noticeEvery = 2 * time.Second
+	// noticeMemory is how long such a word counts: one may be lost.
+	noticeMemory = noticeEvery + noticeEvery/2
 	// assignEvery is how often holders of upstreams are reconsidered.
 	assignEvery = 100 * time.Millisecond
 	// retakeDelay is the pause before an upstream is taken again after another
 	// VM was seen to have it.
 	retakeDelay = time.Second
+	// remoteTakeDelay covers a link that is dialled anew and a heartbeat.
+	remoteTakeDelay = 600 * time.Millisecond
 	// endAckDelay lets the acknowledgement of an end ride on the next call.
 	endAckDelay = 40 * time.Millisecond
 	// lateFactor times the objective is the time after which an answer is of no
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -268,7 +268,9 @@
 	}
 	k.inForce = c
 	k.handlers.Apply(c)
-	k.handlers.Spread(&wire.StateMessage{Configuration: encodeConfiguration(c)})
+	if k.replica == nil || k.replica.Status().Role == replicator.Leader {
+		k.handlers.Spread(&wire.StateMessage{Configuration: encodeConfiguration(c)})
+	}
 }
 
 // step lets the replica decide, then saves, sends and applies what follows.
@@ -298,6 +300,7 @@
 	for i := range out.Commits {
 		k.apply(&out.Commits[i])
 	}
+	k.adopt(k.machine.Current())
 	for _, number := range out.Reads {
 		k.answerRead(number)
 	}
@@ -363,7 +366,6 @@
 		panic(err)
 	}
 	o := k.machine.Apply(ch)
-	k.adopt(k.machine.Current())
 	for number, c := range k.awaited {
 		if c.request.GetChange().GetId() == ch.ID {
 			delete(k.awaited, number)
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	dialTimeout      = 500 * time.Millisecond
+	dialTimeout      = 150 * time.Millisecond
 	redialDelay      = 50 * time.Millisecond
-	redialMax        = 500 * time.Millisecond
+	redialMax        = 250 * time.Millisecond
 	heartbeat        = 250 * time.Millisecond
 	silenceTimeout   = time.Second
 	maxBatch         = 512
@@ -115,8 +115,7 @@
 }
 
 func (l *link) dial(ctx context.Context) (*yamux.Stream, *yamux.Session, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", l.peer.Inner.String())
+	conn, err := l.connect(ctx)
 	if err != nil {
 		return nil, nil, fmt.Errorf("messenger: dialling %s: %w", l.peer.VM, err)
 	}
@@ -133,6 +132,28 @@
 	return stream, session, nil
 }
 
+// connect makes a connection. A peer that dials meanwhile has just started: what
+// was sent to it before is lost, and is sent anew at once.
+func (l *link) connect(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	made := make(chan struct{})
+	defer close(made)
+	go func() {
+		select {
+		case <-l.wake:
+			cancel()
+			select {
+			case l.wake <- struct{}{}:
+			default:
+			}
+		case <-made:
+		}
+	}()
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", l.peer.Inner.String())
+}
+
 // greet opens the stream of a session and waits until the peer has taken the
 // greeting.
 func (l *link) greet(session *yamux.Session) (*yamux.Stream, error) {
