--- a/internal/forwarder/fault_test.go
+++ b/internal/forwarder/fault_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// traffic hands in a job about every 50 ms for a time, and sends those that got
+// traffic hands in jobs for a time, and sends those that got
 // no clear answer again after resendAfter, at another entry, as callers do.
 func (w *world) traffic(d time.Duration) {
 	w.run(1500*time.Millisecond, nil)
@@ -16,7 +16,7 @@
 	resendAt := map[string]time.Time{}
 	last := map[string]int{}
 	w.run(d, func() {
-		if w.random.IntN(50) == 0 {
+		if w.random.IntN(w.arrivalEvery) == 0 {
 			jobs++
 			w.submitAt(fmt.Sprintf("%016x", jobs), w.random.IntN(len(w.entries)), last)
 		}
--- a/internal/forwarder/world_test.go
+++ b/internal/forwarder/world_test.go
@@ -35,6 +35,9 @@
 	untrue  []string
 	// lateOrders is the share of starts that are carried out seconds later.
 	lateOrders float64
+	// arrivalEvery is the mean pause between jobs, in milliseconds.
+	arrivalEvery int
+	maxAttempts  int
 	// chainShortened plants a fault: entries do not wait for a lost holder.
 	chainShortened bool
 }
@@ -77,16 +80,18 @@
 // wins, leases end, ends are listed until they are acknowledged.
 type fakeUpstream struct {
 	holder.Upstream
-	w        *world
-	token    uint64
-	lease    time.Duration
-	runs     map[string]*fakeRun
-	highest  map[string]int
-	ends     []holder.RunEnd
-	number   uint64
-	speed    float64
-	waiting  []func()
-	cutUntil time.Time
+	w       *world
+	token   uint64
+	lease   time.Duration
+	runs    map[string]*fakeRun
+	highest map[string]int
+	ends    []holder.RunEnd
+	number  uint64
+	speed   float64
+	// failShare of the runs fail, soon after their start.
+	failShare float64
+	waiting   []func()
+	cutUntil  time.Time
 }
 
 type fakeRun struct {
@@ -95,6 +100,7 @@
 	endsAt  time.Time
 	started time.Time
 	cores   int64
+	fails   bool
 }
 
 // taskTimes are those of the users' three kinds of jobs.
@@ -106,6 +112,7 @@
 	taskCores  = 10_000
 	worldStep  = time.Millisecond
 	lateStart  = 3 * time.Second
+	failAfter  = 20 * time.Millisecond
 	worldStart = "2026-03-01T00:00:00Z"
 )
 
@@ -115,6 +122,7 @@
 	require.NoError(t, err)
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 5)), now: start, answered: map[string][]Verdict{}, ran: map[string]bool{}, refused: map[string]bool{},
+		arrivalEvery: 50, maxAttempts: 3,
 	}
 	for i := range entries {
 		e := &entryVM{vm: vm{name: fmt.Sprintf("10.0.1.%d:1", i+1), dataCentre: dataCentre(i)}}
@@ -329,7 +337,7 @@
 	taskTime := taskTimes[w.random.IntN(len(taskTimes))]
 	var out Effects
 	e.forwarder.Submit(w.now, holder.Order{
-		ID: id, Service: "booking", MaxAttempts: 3, Objective: 16*taskTime/10 + 60*time.Millisecond, Remaining: remaining, Spec: taskTime.String(),
+		ID: id, Service: "booking", MaxAttempts: w.maxAttempts, Objective: 16*taskTime/10 + 60*time.Millisecond, Remaining: remaining, Spec: taskTime.String(),
 		Steps: []holder.Step{{Count: tasks, Needs: holder.Capacity{MilliCores: taskCores}, Estimate: taskTime}},
 	}, waiter, &out)
 	w.carryOut(e, &out)
@@ -489,7 +497,11 @@
 		}
 	}
 	for _, r := range u.runs {
-		if !u.w.now.Before(r.endsAt) {
+		switch {
+		case u.w.now.Before(r.endsAt):
+		case r.fails:
+			u.end(r, holder.EndFailed)
+		default:
 			u.end(r, holder.EndDone)
 		}
 	}
@@ -562,6 +574,10 @@
 		task: c.Task, run: c.Run, started: u.w.now, cores: taskCores,
 		endsAt: u.w.now.Add(time.Duration(float64(taskTime) / u.speed)),
 	}
+	if u.w.random.Float64() < u.failShare {
+		u.runs[c.Task].fails = true
+		u.runs[c.Task].endsAt = u.w.now.Add(failAfter)
+	}
 	return holder.CallOK
 }
 
--- a/internal/holder/assign.go
+++ b/internal/holder/assign.go
@@ -311,7 +311,7 @@
 	h.loseRuns(now, u)
 	u.lastEnd, u.ackedEnd = 0, 0
 	u.clock, u.leaseEnd = clock{}, 0
-	u.speed, u.failures, u.pausedUntil = 1, 0, time.Time{}
+	u.speed, u.failRate, u.failures, u.pausedUntil = 1, 0, 0, time.Time{}
 	if u.phase == active || u.phase == taking || u.phase == releasing {
 		u.phase = taking
 		u.holdOut, u.holdRetryAt = false, time.Time{}
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -34,8 +34,10 @@
 	// listedAt is when the upstream last told what runs there.
 	listedAt time.Time
 	// isSilent says that it left the last such call unanswered.
-	isSilent    bool
-	speed       float64
+	isSilent bool
+	speed    float64
+	// failRate is the share of runs that failed lately.
+	failRate    float64
 	failures    int
 	pausedUntil time.Time
 }
@@ -195,6 +197,7 @@
 		h.stop(now, u, r)
 	case r.state == running && !r.straggler && now.Sub(r.sentAt) > limit && now.Sub(u.listedAt) < freshness && !r.isProgressing(now):
 		r.straggler = true
+		u.slowDown(now, r)
 		h.decide(Decision{
 			Event: "run-stuck", Job: r.task.job.ID, Task: r.task.name, Run: r.number, Upstream: u.ID,
 			Wait: now.Sub(r.sentAt), IsFault: true,
@@ -214,6 +217,13 @@
 	return elapsed*100/time.Duration(r.percent) < 2*elapsed
 }
 
+// slowDown learns from a run that has not ended that the upstream is slow.
+func (u *held) slowDown(now time.Time, r *run) {
+	estimate := r.task.job.Steps[r.task.step].Estimate
+	seen := float64(estimate) / float64(now.Sub(r.sentAt))
+	u.speed = max(speedLeast, min(u.speed, (u.speed+seen)/2))
+}
+
 func (h *Holder) stop(now time.Time, u *held, r *run) {
 	r.stopOut = true
 	if r.doubtedAt.IsZero() {
--- a/internal/holder/place.go
+++ b/internal/holder/place.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -72,17 +73,77 @@
 		if !h.mayRun(now, u, t, step) {
 			continue
 		}
-		end := h.runTime(u, step)
-		if slices.Contains(t.avoid, u.ID) {
-			end *= avoidFactor
-		}
+		end := h.weighedTime(u, t, step)
 		if best == nil || end < bestEnd || end == bestEnd && u.leftover(step) < best.leftover(step) {
 			best, bestEnd = u, end
 		}
 	}
+	if best != nil && h.isWorthWaiting(now, t, step, bestEnd) {
+		return nil
+	}
 	return best
 }
 
+// weighedTime is the expected run time, longer by what counts against the upstream.
+func (h *Holder) weighedTime(u *held, t *task, s *Step) time.Duration {
+	end := h.runTime(u, s)
+	if slices.Contains(t.avoid, u.ID) {
+		end *= avoidFactor
+	}
+	return end
+}
+
+// isWorthWaiting reports whether a task that would miss its objective on the best
+// free upstream is expected to meet it on one that has a place soon.
+func (h *Holder) isWorthWaiting(now time.Time, t *task, s *Step, bestEnd time.Duration) bool {
+	left := t.job.arrivedAt.Add(t.job.Objective).Sub(now)
+	if bestEnd <= left || h.runTimeAtBest(t, s) > left {
+		return false
+	}
+	for _, u := range h.upstreams {
+		if u.Service != t.job.Service || !u.isUsable(now) || !u.hasLabel(s.Label) {
+			continue
+		}
+		wait, ok := u.placeIn(now, s)
+		if ok && wait+h.weighedTime(u, t, s) <= left {
+			return true
+		}
+	}
+	return false
+}
+
+// runTimeAtBest is the shortest time that a task can take on any upstream.
+func (h *Holder) runTimeAtBest(t *task, s *Step) time.Duration {
+	best := time.Duration(math.MaxInt64)
+	for _, u := range h.upstreams {
+		if u.phase == active && u.Service == t.job.Service {
+			best = min(best, h.weighedTime(u, t, s))
+		}
+	}
+	return best
+}
+
+// placeIn is the time until the first run on an upstream ends whose place is
+// large enough. A run that is overdue says nothing.
+func (u *held) placeIn(now time.Time, s *Step) (time.Duration, bool) {
+	free := u.Capacity.minus(u.used)
+	best, found := time.Duration(0), false
+	for _, r := range u.runs {
+		wait := r.sentAt.Add(r.expected).Sub(now)
+		if wait < 0 || !s.Needs.fits(free.plus(r.needs)) {
+			continue
+		}
+		if !found || wait < best {
+			best, found = wait, true
+		}
+	}
+	return best, found
+}
+
+// suspectRate is the share of failed runs above which an upstream does not get the
+// last attempt of a task: it is worth a short wait for another one.
+const suspectRate = 0.1
+
 // avoidFactor weighs against an upstream on which the task has failed.
 const avoidFactor = 4
 
@@ -100,6 +161,9 @@
 	if u.failures >= pauseAfter && len(u.runs) > 0 {
 		return false
 	}
+	if t.failures > 0 && t.failures+1 >= t.job.MaxAttempts && u.failRate > suspectRate {
+		return false
+	}
 	return s.PerUpstream == 0 || u.countOf(t.job, t.step) < s.PerUpstream
 }
 
--- a/internal/holder/results.go
+++ b/internal/holder/results.go
@@ -242,6 +242,7 @@
 	switch how {
 	case EndDone:
 		u.failures = 0
+		u.failRate -= u.failRate * failGain
 		u.learnSpeed(now, r)
 		t.done = true
 		t.job.left--
@@ -253,6 +254,7 @@
 	case EndFailed:
 		if t.failures == 0 {
 			u.failures++
+			u.failRate += (1 - u.failRate) * failGain
 		}
 		h.taskFailed(now, u, r)
 		if u.failures >= pauseAfter {
--- a/internal/holder/timing.go
+++ b/internal/holder/timing.go
@@ -88,6 +88,8 @@
 	pauseAfter = 2
 	// speedGain is the weight of the newest run in an upstream's learnt speed.
 	speedGain = 0.2
+	// failGain is the weight of the newest run in an upstream's share of failures.
+	failGain = 0.15
 	// speedLeast and speedMost bound the learnt speed.
 	speedLeast, speedMost = 0.1, 4.0
 	// queueScan bounds how many waiting jobs one round tries to place.
