Wide jobs are split over holders

Change: the entry splits a job of one step over holders by the places that their heartbeats tell, when no holder has room for all and half of the tasks have places now. Each part is an order of its own; a lost part alone is sent again.

--- a/internal/conductor/decoder.go
+++ b/internal/conductor/decoder.go
@@ -31,6 +31,9 @@
 			FreeMilliCores: l.GetFreeMilliCores(), TotalMilliCores: l.GetTotalMilliCores(),
 			Backlog: time.Duration(l.GetBacklog()), Racks: l.GetRacks(), Pending: map[string]int{},
 		}
+		for _, n := range l.GetPlaces() {
+			h.Load.Places = append(h.Load.Places, int(n))
+		}
 		for route, n := range l.GetPending() {
 			h.Load.Pending[route] = int(n)
 		}
@@ -43,6 +46,7 @@
 		ID: w.GetId(), Request: w.GetRequest(), Attempt: int(w.GetAttempt()), Route: w.GetRoute(), Service: w.GetService(),
 		Spec: w.GetSpec(), MaxAttempts: int(w.GetMaxAttempts()), Objective: time.Duration(w.GetObjective()),
 		Remaining: time.Duration(w.GetRemaining()), Priority: int(w.GetPriority()), AcceptLate: w.GetAcceptLate(),
+		Part: int(w.GetPart()), First: int(w.GetFirst()), Force: w.GetForce(),
 	}
 	for i, s := range w.GetSteps() {
 		step := holder.Step{
@@ -68,11 +72,12 @@
 	return holder.Answer{
 		ID: w.GetId(), Attempt: int(w.GetAttempt()), Outcome: holder.Outcome(w.GetOutcome()),
 		Started: w.GetStarted(), Wait: time.Duration(w.GetWait()), Reason: w.GetReason(),
+		Part: int(w.GetPart()),
 	}
 }
 
 func decodeCancel(w *wire.JobCancel) forwarder.Cancel {
-	return forwarder.Cancel{ID: w.GetId(), Everywhere: w.GetEverywhere()}
+	return forwarder.Cancel{ID: w.GetId(), Part: int(w.GetPart()), Everywhere: w.GetEverywhere()}
 }
 
 func decodeNotice(w *wire.UpstreamReport) (holder.Notice, error) {
--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -70,7 +70,15 @@
 		return
 	}
 	cancel := *s.Cancel
-	d.local = append(d.local, func(now time.Time) { d.holder.Cancel(now, self, cancel.ID, cancel.Everywhere, &d.holderOut) })
+	d.local = append(d.local, func(now time.Time) { d.cancel(now, self, cancel) })
+}
+
+func (d *Conductor) cancel(now time.Time, entry string, c forwarder.Cancel) {
+	if c.Everywhere {
+		d.holder.CancelJob(now, entry, c.ID, &d.holderOut)
+		return
+	}
+	d.holder.Withdraw(now, entry, c.ID, c.Part, &d.holderOut)
 }
 
 // call carries out an order to an upstream; leases and room bound their number.
--- a/internal/conductor/encoder.go
+++ b/internal/conductor/encoder.go
@@ -25,6 +25,9 @@
 		FreeMilliCores: h.Load.FreeMilliCores, TotalMilliCores: h.Load.TotalMilliCores,
 		Backlog: int64(h.Load.Backlog), Racks: h.Load.Racks, Pending: map[string]uint32{},
 	}
+	for _, n := range h.Load.Places {
+		w.Load.Places = append(w.Load.Places, uint32(n))
+	}
 	for route, n := range h.Load.Pending {
 		w.Load.Pending[route] = uint32(n)
 	}
@@ -36,6 +39,7 @@
 		Id: o.ID, Request: o.Request, Attempt: uint32(o.Attempt), Route: o.Route, Service: o.Service, Spec: o.Spec,
 		MaxAttempts: uint32(o.MaxAttempts), Objective: int64(o.Objective), Remaining: int64(o.Remaining),
 		Priority: int32(o.Priority), AcceptLate: o.AcceptLate,
+		Part: uint32(o.Part), First: uint32(o.First), Force: o.Force,
 	}
 	for _, s := range o.Steps {
 		step := &wire.JobStep{
@@ -54,11 +58,12 @@
 func encodeAnswer(a *holder.Answer) *wire.JobAnswer {
 	return &wire.JobAnswer{
 		Id: a.ID, Attempt: uint32(a.Attempt), Outcome: int32(a.Outcome), Started: a.Started, Wait: int64(a.Wait), Reason: a.Reason,
+		Part: uint32(a.Part),
 	}
 }
 
 func encodeCancel(c *forwarder.Cancel) *wire.JobCancel {
-	return &wire.JobCancel{Id: c.ID, Everywhere: c.Everywhere}
+	return &wire.JobCancel{Id: c.ID, Part: uint32(c.Part), Everywhere: c.Everywhere}
 }
 
 func encodeNotice(n *holder.Notice) *wire.UpstreamReport {
--- a/internal/conductor/receive.go
+++ b/internal/conductor/receive.go
@@ -43,7 +43,7 @@
 		d.takeOrder(now, from, r.GetIncarnation(), delay, b.Order)
 	case *wire.Relay_Cancel:
 		c := decodeCancel(b.Cancel)
-		d.holder.Cancel(now, from, c.ID, c.Everywhere, &d.holderOut)
+		d.cancel(now, from, c)
 	case *wire.Relay_Answer:
 		d.forwarder.Answer(now, from, decodeAnswer(b.Answer), &d.forwardOut)
 	case *wire.Relay_Report:
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -4,7 +4,6 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"bronzedrift.example/bronzedrift/internal/holder"
@@ -45,7 +44,9 @@
 
 // Cancel gives up a job at a holder.
 type Cancel struct {
-	ID         string
+	ID   string
+	Part int
+	// Everywhere says that the caller asked for it, so that all parts end.
 	Everywhere bool
 }
 
@@ -74,15 +75,26 @@
 	order     holder.Order
 	waiters   []uint64
 	arrivedAt time.Time
-	to        string
-	toLife    string
-	tried     []string
-	started   bool
-	leastWait time.Duration
-	leastVM   string
+	parts     []*part
+	left      int
+	// started says that a task of the job was started or may have been.
+	started bool
+}
+
+// part is the tasks of a job that one holder runs.
+type part struct {
+	job *job
+	// order is what the holder was sent last.
+	order holder.Order
+	// to is the holder, in the life of toLife; empty while none is within reach.
+	to, toLife string
+	tried      []string
+	leastWait  time.Duration
+	leastVM    string
 	// lostAt is when the holder was last heard before it was lost.
 	lostAt  time.Time
 	resends int
+	done    bool
 }
 
 type sentLoad struct {
@@ -133,30 +145,42 @@
 	}
 	j := &job{order: o, waiters: []uint64{waiter}, arrivedAt: now}
 	f.jobs[o.ID] = j
-	f.forward(now, j)
+	f.split(now, j)
+	for _, p := range j.parts {
+		if f.jobs[o.ID] == j {
+			f.forward(now, p)
+		}
+	}
 }
 
-// forward gives a job to the best holder that has not refused it.
-func (f *Forwarder) forward(now time.Time, j *job) {
-	vm := f.choose(now, j)
-	if vm == "" && !j.order.AcceptLate && j.leastVM != "" {
-		j.order.AcceptLate = true
-		vm = j.leastVM
+// forward gives a part to the best holder that has not refused it.
+func (f *Forwarder) forward(now time.Time, p *part) {
+	vm := p.to
+	if vm == "" || len(p.tried) > 0 {
+		vm = f.choose(now, p)
 	}
-	if vm == "" && j.leastVM == "" && f.expectsHolder(now) && now.Before(j.waitsUntil()) {
-		j.to = ""
+	if vm == "" && p.leastVM != "" && !p.order.AcceptLate {
+		p.order.AcceptLate = true
+		vm = p.leastVM
+	}
+	if vm == "" && p.leastVM != "" && len(p.job.parts) > 1 && !p.order.Force {
+		p.order.Force = true
+		vm = p.leastVM
+	}
+	if vm == "" && p.leastVM == "" && f.expectsHolder(now) && now.Before(p.waitsUntil()) {
+		p.to = ""
 		return
 	}
 	if vm == "" {
-		f.refuse(now, j)
+		f.refuse(now, p)
 		return
 	}
 	f.attempt++
-	j.order.Attempt = f.attempt
-	j.to, j.lostAt = vm, time.Time{}
-	j.toLife = f.peers.Peer(vm).Incarnation
-	j.tried = append(j.tried, vm)
-	f.send(now, j)
+	p.order.Attempt = f.attempt
+	p.to, p.lostAt = vm, time.Time{}
+	p.toLife = f.peers.Peer(vm).Incarnation
+	p.tried = append(p.tried, vm)
+	f.send(now, p)
 }
 
 // expectsHolder reports whether a state VM is within reach that may hold upstreams
@@ -170,138 +194,103 @@
 	return false
 }
 
-// waitsUntil is how long a job may wait for a holder: while it can still end on
+// waitsUntil is how long a part may wait for a holder: while it can still end on
 // time, and no longer than a holder needs to take upstreams.
-func (j *job) waitsUntil() time.Time {
-	return j.arrivedAt.Add(min(j.order.Objective-j.order.Chain(), holderWait))
+func (p *part) waitsUntil() time.Time {
+	return p.job.arrivedAt.Add(min(p.job.order.Objective-p.job.order.Chain(), holderWait))
 }
 
 // holderWait is how long a state VM that has started needs to hold upstreams.
 const holderWait = 600 * time.Millisecond
 
-func (f *Forwarder) send(now time.Time, j *job) {
-	o := j.order
-	o.Remaining -= now.Sub(j.arrivedAt)
-	o.Objective = max(j.order.Objective-now.Sub(j.arrivedAt), time.Millisecond)
-	s := f.sent[j.to]
-	s.milliCores += o.MilliCores()
-	f.sent[j.to] = s
-	f.out.Sends = append(f.out.Sends, Send{To: j.to, Order: &o})
+func (f *Forwarder) send(now time.Time, p *part) {
+	o := p.order
+	waited := now.Sub(p.job.arrivedAt)
+	o.Remaining = p.job.order.Remaining - waited
+	o.Objective = max(p.job.order.Objective-waited, time.Millisecond)
+	f.countSent(p.to, o.MilliCores())
+	f.out.Sends = append(f.out.Sends, Send{To: p.to, Order: &o})
 }
 
-// refuse answers a job that no holder takes.
-func (f *Forwarder) refuse(now time.Time, j *job) {
-	wait := j.leastWait
-	if j.leastVM == "" {
+// refuse answers a job of which no holder takes a part.
+func (f *Forwarder) refuse(now time.Time, p *part) {
+	wait := p.leastWait
+	if p.leastVM == "" {
 		wait = noHolderWait
 	}
 	result := NotRun
-	if j.started {
+	if p.job.started || p.job.hasSentOthers(p) {
 		result = Unknown
 	}
-	f.answer(now, j, Verdict{Result: result, RetryAfter: wait, Reason: "no holder can serve the job in time"})
+	f.end(now, p.job, Verdict{Result: result, RetryAfter: wait, Reason: "no holder can serve the job in time"})
 }
 
-// choose returns the holder with room for the job, the one of this data centre
-// before others, or else the one with the shortest wait.
-func (f *Forwarder) choose(now time.Time, j *job) string {
-	type candidate struct {
-		vm    string
-		local bool
-		rack  bool
-		free  int64
-		wait  time.Duration
-	}
-	needs := j.order.MilliCores()
-	rack := j.order.Steps[0].DataRack
-	var list []candidate
-	for _, p := range f.peers.Heard(now) {
-		if p.IsLeaving || p.Load.TotalMilliCores == 0 || slices.Contains(j.tried, p.VM) {
-			continue
-		}
-		s := f.sent[p.VM]
-		if !s.at.Equal(p.HeardAt) {
-			s = sentLoad{at: p.HeardAt}
-			f.sent[p.VM] = s
-		}
-		list = append(list, candidate{
-			vm: p.VM, local: p.DataCentre == f.dataCentre, rack: rack != "" && slices.Contains(p.Load.Racks, rack),
-			free: p.Load.FreeMilliCores - s.milliCores, wait: p.Load.Backlog,
-		})
-	}
-	if len(list) == 0 {
-		return ""
-	}
-	hasRoom := func(c candidate) bool { return c.free >= needs && c.wait == 0 }
-	sort.SliceStable(list, func(i, k int) bool {
-		a, b := list[i], list[k]
-		switch {
-		case hasRoom(a) != hasRoom(b):
-			return hasRoom(a)
-		case a.rack != b.rack:
-			return a.rack
-		case hasRoom(a) && a.local != b.local:
-			return a.local
-		case !hasRoom(a) && a.wait != b.wait:
-			return a.wait < b.wait
+// hasSentOthers reports whether other parts may have started.
+func (j *job) hasSentOthers(p *part) bool {
+	for _, other := range j.parts {
+		if other != p && len(other.tried) > 0 {
+			return true
 		}
-		return a.free > b.free
-	})
-	return list[0].vm
+	}
+	return false
 }
 
-// Answer takes what a holder says of a job.
+// Answer takes what a holder says of a part of a job.
 func (f *Forwarder) Answer(now time.Time, from string, a holder.Answer, out *Effects) {
 	f.out = out
 	j := f.jobs[a.ID]
-	if j == nil {
+	if j == nil || a.Part >= len(j.parts) || j.parts[a.Part].done {
 		return
 	}
-	isCurrent := from == j.to && a.Attempt == j.order.Attempt
+	p := j.parts[a.Part]
+	isCurrent := from == p.to && a.Attempt == p.order.Attempt
 	switch a.Outcome {
-	case holder.Completed, holder.Failed:
-		result := Completed
-		if a.Outcome == holder.Failed {
-			result = Failed
-		}
+	case holder.Completed:
 		if !isCurrent {
-			f.withdraw(j)
+			f.withdraw(p)
 		}
-		f.answer(now, j, Verdict{Result: result, Reason: a.Reason})
+		p.done = true
+		j.left--
+		if j.left == 0 {
+			f.end(now, j, Verdict{Result: Completed})
+		}
+	case holder.Failed:
+		f.end(now, j, Verdict{Result: Failed, Reason: a.Reason})
 	case holder.Cancelled:
 		if isCurrent {
-			f.answer(now, j, Verdict{Result: Cancelled})
+			f.end(now, j, Verdict{Result: Cancelled})
 		}
 	case holder.Busy:
 		if !isCurrent {
 			return
 		}
-		if j.leastVM == "" || a.Wait < j.leastWait {
-			j.leastVM, j.leastWait = from, a.Wait
+		if p.leastVM == "" || a.Wait < p.leastWait {
+			p.leastVM, p.leastWait = from, a.Wait
 		}
-		f.forward(now, j)
+		f.forward(now, p)
 	case holder.Lost:
 		if isCurrent {
 			j.started = j.started || a.Started
-			f.resend(now, j)
+			f.resend(now, p)
 		}
 	}
 }
 
-// resend gives a job, nothing of which runs any more, to another holder.
-func (f *Forwarder) resend(now time.Time, j *job) {
-	j.resends++
+// resend gives a part, nothing of which runs any more, to another holder.
+func (f *Forwarder) resend(now time.Time, p *part) {
+	j := p.job
+	p.resends++
 	end := now.Add(j.order.Chain())
 	isUseless := end.After(j.arrivedAt.Add(lateFactor*j.order.Objective)) || end.After(j.arrivedAt.Add(j.order.Remaining))
-	if j.resends > maxResends || isUseless {
+	if p.resends > maxResends || isUseless {
 		f.giveUp(now, j, "its holder was lost")
 		return
 	}
-	f.decide(holder.Decision{Event: "job-resent", Job: j.order.ID, Request: j.order.Request, Peer: j.to, IsFault: true})
-	j.tried = []string{j.to}
-	j.leastVM, j.leastWait = "", 0
-	j.order.AcceptLate = true
-	f.forward(now, j)
+	f.decide(holder.Decision{Event: "job-resent", Job: j.order.ID, Request: j.order.Request, Peer: p.to, IsFault: true})
+	p.tried = []string{p.to}
+	p.leastVM, p.leastWait = "", 0
+	p.order.AcceptLate = true
+	f.forward(now, p)
 }
 
 // giveUp answers a job whose holder was lost.
@@ -310,14 +299,21 @@
 	if !j.started {
 		result = NotRun
 	}
-	f.answer(now, j, Verdict{Result: result, RetryAfter: f.timing.Chain(), Reason: reason})
+	f.end(now, j, Verdict{Result: result, RetryAfter: f.timing.Chain(), Reason: reason})
 }
 
-// answer tells all callers of a job and forgets it.
-func (f *Forwarder) answer(now time.Time, j *job, v Verdict) {
+// end tells all callers of a job, gives up what is left of it, and forgets it.
+func (f *Forwarder) end(now time.Time, j *job, v Verdict) {
 	delete(f.jobs, j.order.ID)
+	last := ""
+	for _, p := range j.parts {
+		last = p.to
+		if !p.done && v.Result != Cancelled {
+			f.withdraw(p)
+		}
+	}
 	f.decide(holder.Decision{
-		Event: "answered-" + v.Result.Name(), Job: j.order.ID, Request: j.order.Request, Peer: j.to,
+		Event: "answered-" + v.Result.Name(), Job: j.order.ID, Request: j.order.Request, Peer: last,
 		Reason: v.Reason, Wait: now.Sub(j.arrivedAt), IsFault: v.Result != Completed,
 	})
 	for _, w := range j.waiters {
@@ -361,14 +357,18 @@
 		return
 	}
 	delete(f.jobs, id)
-	f.decide(holder.Decision{Event: "caller-gone", Job: id, Request: j.order.Request, Peer: j.to, Wait: now.Sub(j.arrivedAt)})
-	f.withdraw(j)
+	f.decide(holder.Decision{Event: "caller-gone", Job: id, Request: j.order.Request, Wait: now.Sub(j.arrivedAt)})
+	for _, p := range j.parts {
+		if !p.done {
+			f.withdraw(p)
+		}
+	}
 }
 
-// withdraw gives up a job at its holder.
-func (f *Forwarder) withdraw(j *job) {
-	if j.to != "" {
-		f.out.Sends = append(f.out.Sends, Send{To: j.to, Cancel: &Cancel{ID: j.order.ID}})
+// withdraw gives up a part at its holder.
+func (f *Forwarder) withdraw(p *part) {
+	if p.to != "" && len(p.tried) > 0 {
+		f.out.Sends = append(f.out.Sends, Send{To: p.to, Cancel: &Cancel{ID: p.order.ID, Part: p.order.Part}})
 	}
 }
 
@@ -389,10 +389,15 @@
 // with the former link. A holder that knows them goes on.
 func (f *Forwarder) PeerUp(now time.Time, vm string, out *Effects) {
 	f.out = out
+	peer := f.peers.Peer(vm)
+	if peer == nil {
+		return
+	}
 	for _, j := range f.jobs {
-		p := f.peers.Peer(vm)
-		if j.to == vm && j.lostAt.IsZero() && p != nil && p.Incarnation == j.toLife {
-			f.send(now, j)
+		for _, p := range j.parts {
+			if p.to == vm && !p.done && p.lostAt.IsZero() && peer.Incarnation == p.toLife {
+				f.send(now, p)
+			}
 		}
 	}
 }
@@ -416,41 +421,49 @@
 	f.cancels = left
 }
 
-// tend gives up a job whose deadline has passed or whose holder is lost.
+// tend gives up a job whose deadline has passed, and parts whose holder is lost.
 func (f *Forwarder) tend(now time.Time, j *job) {
 	if now.After(j.arrivedAt.Add(j.order.Remaining)) {
-		f.withdraw(j)
-		f.answer(now, j, Verdict{Result: TimedOut, Reason: "the caller's deadline has passed"})
+		f.end(now, j, Verdict{Result: TimedOut, Reason: "the caller's deadline has passed"})
 		return
 	}
-	if j.to == "" {
-		f.forward(now, j)
+	for _, p := range j.parts {
+		if !p.done && f.jobs[j.order.ID] == j {
+			f.tendPart(now, p)
+		}
+	}
+}
+
+func (f *Forwarder) tendPart(now time.Time, p *part) {
+	if p.to == "" {
+		f.forward(now, p)
 		return
 	}
-	p := f.peers.Peer(j.to)
-	if j.lostAt.IsZero() {
-		if p != nil && f.peers.IsHeard(now, j.to) && p.Incarnation == j.toLife {
+	peer := f.peers.Peer(p.to)
+	if p.lostAt.IsZero() {
+		if peer != nil && f.peers.IsHeard(now, p.to) && peer.Incarnation == p.toLife {
 			return
 		}
-		f.lose(now, j, p)
+		f.lose(now, p, peer)
 		return
 	}
-	if now.After(j.lostAt.Add(f.timing.Chain())) {
-		f.resend(now, j)
+	if now.After(p.lostAt.Add(f.timing.Chain())) {
+		f.resend(now, p)
 	}
 }
 
-// lose waits until nothing of a job can run at a holder that is not heard, or
+// lose waits until nothing of a part can run at a holder that is not heard, or
 // answers at once if no time would be left then.
-func (f *Forwarder) lose(now time.Time, j *job, p *tracker.Peer) {
-	j.lostAt = now
-	if p != nil && p.Incarnation == j.toLife && !p.HeardAt.IsZero() {
-		j.lostAt = p.HeardAt
+func (f *Forwarder) lose(now time.Time, p *part, peer *tracker.Peer) {
+	j := p.job
+	p.lostAt = now
+	if peer != nil && peer.Incarnation == p.toLife && !peer.HeardAt.IsZero() {
+		p.lostAt = peer.HeardAt
 	}
 	j.started = true
-	f.decide(holder.Decision{Event: "holder-lost", Job: j.order.ID, Request: j.order.Request, Peer: j.to, IsFault: true})
-	f.withdraw(j)
-	end := j.lostAt.Add(f.timing.Chain() + j.order.Chain())
+	f.decide(holder.Decision{Event: "holder-lost", Job: j.order.ID, Request: j.order.Request, Peer: p.to, IsFault: true})
+	f.withdraw(p)
+	end := p.lostAt.Add(f.timing.Chain() + j.order.Chain())
 	if end.After(j.arrivedAt.Add(min(lateFactor*j.order.Objective, j.order.Remaining))) {
 		f.giveUp(now, j, "its holder is not within reach")
 	}
--- a/internal/forwarder/load_test.go
+++ b/internal/forwarder/load_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -47,3 +48,37 @@
 		assert.GreaterOrEqual(t, w.count(Completed), len(w.answered)*9/10)
 	}
 }
+
+// TestWideJobs answers the pattern in which jobs have more tasks than one holder has
+// places, while all holders together have enough: the tasks start together.
+func TestWideJobs(t *testing.T) {
+	const (
+		tasks    = 30
+		taskTime = 200 * time.Millisecond
+		// objective is that of the users for this kind of job; the slowest upstream
+		// needs 286 ms, so that a second wave is late.
+		objective = taskTime*16/10 + 60*time.Millisecond
+	)
+	w := newWorld(t, 1, 4, 3, 12)
+	w.run(2*time.Second, nil)
+	for i := range 10 {
+		id := fmt.Sprintf("%016x", i)
+		w.submitTasks(w.entries[i%4], uint64(1000+i), id, tasks, taskTime, 3*time.Second)
+		w.run(400*time.Millisecond, nil)
+		assert.LessOrEqual(t, w.took[id], objective)
+	}
+	assertPromises(t, w)
+	assert.Equal(t, 10, w.count(Completed))
+}
+
+// TestLostPartIsSentAgain loses one of the holders of a wide job: the parts of the
+// others go on, and the job is completed.
+func TestLostPartIsSentAgain(t *testing.T) {
+	w := newWorld(t, 1, 4, 3, 12)
+	w.run(2*time.Second, nil)
+	w.submitTasks(w.entries[0], 1000, "0", 20, 900*time.Millisecond, 6*time.Second)
+	w.at(300*time.Millisecond, func() { w.killHolder(w.holders[2], time.Second) })
+	w.run(6*time.Second, nil)
+	assertPromises(t, w)
+	assert.Equal(t, 1, w.count(Completed))
+}
--- a/internal/forwarder/world_test.go
+++ b/internal/forwarder/world_test.go
@@ -27,6 +27,9 @@
 	due       []delivery
 	sequence  int
 	answered  map[string][]Verdict
+	// took is how long the callers of jobs waited.
+	took      map[string]time.Duration
+	arrivedAt map[string]time.Time
 	// ran names the jobs of which a task has started since they were last handed
 	// in, refused those that were last said not to have run.
 	ran     map[string]bool
@@ -122,7 +125,7 @@
 	require.NoError(t, err)
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 5)), now: start, answered: map[string][]Verdict{}, ran: map[string]bool{}, refused: map[string]bool{},
-		arrivalEvery: 50, maxAttempts: 3,
+		took: map[string]time.Duration{}, arrivedAt: map[string]time.Time{}, arrivalEvery: 50, maxAttempts: 3,
 	}
 	for i := range entries {
 		e := &entryVM{vm: vm{name: fmt.Sprintf("10.0.1.%d:1", i+1), dataCentre: dataCentre(i)}}
@@ -331,10 +334,15 @@
 	}
 	w.sequence++
 	waiter := uint64(w.sequence)
-	e.waiting[waiter] = id
 	delete(w.ran, id)
 	delete(w.refused, id)
 	taskTime := taskTimes[w.random.IntN(len(taskTimes))]
+	w.submitTasks(e, waiter, id, tasks, taskTime, remaining)
+}
+
+func (w *world) submitTasks(e *entryVM, waiter uint64, id string, tasks int, taskTime, remaining time.Duration) {
+	w.arrivedAt[id] = w.now
+	e.waiting[waiter] = id
 	var out Effects
 	e.forwarder.Submit(w.now, holder.Order{
 		ID: id, Service: "booking", MaxAttempts: w.maxAttempts, Objective: 16*taskTime/10 + 60*time.Millisecond, Remaining: remaining, Spec: taskTime.String(),
@@ -358,7 +366,7 @@
 				h.holder.Hear(w.now, e.name, e.incarnation, &effects)
 				h.holder.Submit(w.now, e.name, *s.Order, &effects)
 			} else {
-				h.holder.Cancel(w.now, e.name, s.Cancel.ID, s.Cancel.Everywhere, &effects)
+				h.holder.Withdraw(w.now, e.name, s.Cancel.ID, s.Cancel.Part, &effects)
 			}
 			w.carryOutHolder(h, &effects)
 		})
@@ -367,6 +375,7 @@
 		id := e.waiting[v.Waiter]
 		delete(e.waiting, v.Waiter)
 		w.answered[id] = append(w.answered[id], v)
+		w.took[id] = w.now.Sub(w.arrivedAt[id])
 		if v.Result == NotRun {
 			w.refused[id] = true
 			if w.ran[id] {
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -34,9 +34,9 @@
 type Holder struct {
 	config    Config
 	upstreams map[string]*held
-	jobs      map[string]*job
+	jobs      map[Key]*job
 	queue     []*job
-	answers   map[string]remembered
+	answers   map[Key]remembered
 	cancelled map[string]time.Time
 	entries   map[string]*entry
 	peers     []Peer
@@ -56,6 +56,7 @@
 type remembered struct {
 	entry  string
 	answer Answer
+	tasks  [2]int
 	at     time.Time
 }
 
@@ -63,7 +64,7 @@
 // ended for all, anything else is said of one attempt.
 func (r *remembered) isFor(entryVM string, o *Order) bool {
 	if r.answer.Outcome == Completed || r.answer.Outcome == Failed {
-		return true
+		return r.tasks == o.tasks()
 	}
 	return r.entry == entryVM && r.answer.Attempt >= o.Attempt
 }
@@ -71,8 +72,8 @@
 // New returns a Holder that holds nothing.
 func New(c Config) *Holder {
 	return &Holder{
-		config: c, upstreams: map[string]*held{}, jobs: map[string]*job{},
-		answers: map[string]remembered{}, cancelled: map[string]time.Time{}, entries: map[string]*entry{},
+		config: c, upstreams: map[string]*held{}, jobs: map[Key]*job{},
+		answers: map[Key]remembered{}, cancelled: map[string]time.Time{}, entries: map[string]*entry{},
 	}
 }
 
@@ -161,13 +162,15 @@
 	// Backlog is the expected wait for a place.
 	Backlog time.Duration
 	Racks   []string
+	// Places counts the tasks of each of PlaceSizes that fit now.
+	Places []int
 	// Pending counts by route the jobs of which no task has started.
 	Pending map[string]int
 }
 
 // Load returns the present load.
 func (h *Holder) Load(now time.Time) Load {
-	l := Load{Pending: map[string]int{}}
+	l := Load{Pending: map[string]int{}, Places: make([]int, len(PlaceSizes))}
 	racks := map[string]bool{}
 	for _, u := range h.upstreams {
 		if !u.isUsable(now) {
@@ -178,6 +181,9 @@
 		if u.Rack != "" {
 			racks[u.Rack] = true
 		}
+		for i, size := range PlaceSizes {
+			l.Places[i] += int(max(0, u.Capacity.MilliCores-u.used.MilliCores) / size)
+		}
 	}
 	for rack := range racks {
 		l.Racks = append(l.Racks, rack)
@@ -190,11 +196,25 @@
 		}
 	}
 	if h.leaving {
-		l.FreeMilliCores, l.TotalMilliCores = 0, 0
+		l.FreeMilliCores, l.TotalMilliCores, l.Places = 0, 0, nil
 	}
 	return l
 }
 
+// PlaceSizes are the sizes of tasks for which free places are counted, in
+// thousandths of a core.
+var PlaceSizes = []int64{500, 1000, 2000, 4000, 6000, 8000, 10_000, 12_000, 14_000, 16_000, 20_000, 24_000, 32_000, 64_000}
+
+// PlacesFor returns how many tasks of a size fit now.
+func (l *Load) PlacesFor(milliCores int64) int {
+	for i, size := range PlaceSizes {
+		if size >= milliCores && i < len(l.Places) {
+			return l.Places[i]
+		}
+	}
+	return 0
+}
+
 // UpstreamStatus is what operators see of an upstream.
 type UpstreamStatus struct {
 	Upstream Upstream
--- a/internal/holder/job.go
+++ b/internal/holder/job.go
@@ -74,7 +74,7 @@
 		for i := range tasks {
 			tasks[i] = &task{
 				job: j, step: s, nextRun: 1,
-				name: o.ID + ".0." + strconv.Itoa(s) + "." + strconv.Itoa(i),
+				name: o.ID + ".0." + strconv.Itoa(s) + "." + strconv.Itoa(o.First+i),
 			}
 		}
 		j.steps = append(j.steps, tasks)
--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -8,16 +8,16 @@
 // Submit takes an order. One that is under way or answered already is joined.
 func (h *Holder) Submit(now time.Time, entryVM string, o Order, out *Effects) {
 	h.out = out
-	if r, ok := h.answers[o.ID]; ok && r.isFor(entryVM, &o) {
+	if r, ok := h.answers[o.Key()]; ok && r.isFor(entryVM, &o) {
 		r.answer.Attempt = o.Attempt
 		h.out.Replies = append(h.out.Replies, Reply{entryVM, r.answer})
 		return
 	}
 	if at, ok := h.cancelled[o.ID]; ok && now.Sub(at) <= cancelMemory {
-		h.out.Replies = append(h.out.Replies, Reply{entryVM, Answer{ID: o.ID, Attempt: o.Attempt, Outcome: Cancelled}})
+		h.out.Replies = append(h.out.Replies, Reply{entryVM, Answer{ID: o.ID, Part: o.Part, Attempt: o.Attempt, Outcome: Cancelled}})
 		return
 	}
-	if j := h.jobs[o.ID]; j != nil {
+	if j := h.jobs[o.Key()]; j != nil {
 		h.rejoin(now, entryVM, j, &o)
 		return
 	}
@@ -25,27 +25,32 @@
 		h.decide(Decision{
 			Event: "job-refused", Job: o.ID, Request: o.Request, Peer: entryVM, Reason: refusal.Reason, Wait: refusal.Wait,
 		})
-		refusal.ID, refusal.Attempt = o.ID, o.Attempt
-		h.answers[o.ID] = remembered{entryVM, *refusal, now}
+		refusal.ID, refusal.Part, refusal.Attempt = o.ID, o.Part, o.Attempt
+		h.answers[o.Key()] = remembered{entryVM, *refusal, o.tasks(), now}
 		h.out.Replies = append(h.out.Replies, Reply{entryVM, *refusal})
 		return
 	}
 	j := newJob(now, entryVM, o)
-	h.jobs[o.ID] = j
+	h.jobs[o.Key()] = j
 	h.queue = append(h.queue, j)
 	h.place(now)
 }
 
-// rejoin answers a job that is under way to the entry that asks now.
+// rejoin goes on with a job that its entry sends again. One that another entry
+// sends, or with other tasks, is a new try of the caller: what runs here of the
+// former one ends first.
 func (h *Holder) rejoin(now time.Time, entryVM string, j *job, o *Order) {
-	if j.stopping {
+	if j.entry == entryVM && j.tasks() == o.tasks() {
+		j.Attempt = o.Attempt
 		return
 	}
-	if j.entry != entryVM {
-		h.decide(Decision{Event: "job-joined", Job: j.ID, Request: o.Request, Peer: entryVM})
-		j.arrivedAt = now
+	if !j.stopping {
+		h.decide(Decision{Event: "job-superseded", Job: j.ID, Request: o.Request, Peer: entryVM})
+		h.giveUp(now, j, Answer{Outcome: Lost, Reason: "another entry has sent the job"})
 	}
-	j.entry, j.Attempt, j.Remaining = entryVM, o.Attempt, o.Remaining+now.Sub(j.arrivedAt)
+	h.out.Replies = append(h.out.Replies, Reply{entryVM, Answer{
+		ID: o.ID, Part: o.Part, Attempt: o.Attempt, Outcome: Busy, Wait: h.config.Timing.StopTime, Reason: "a former try is ending",
+	}})
 }
 
 // refuse returns the answer to an order that cannot be served here in time.
@@ -65,7 +70,7 @@
 	if o.AcceptLate {
 		limit = min(lateAdmission*o.Objective/10, o.Remaining)
 	}
-	if wait > 0 && wait+o.Chain() > limit {
+	if !o.Force && wait > 0 && wait+o.Chain() > limit {
 		return &Answer{Outcome: Busy, Reason: "queue", Wait: wait}
 	}
 	return nil
@@ -102,25 +107,27 @@
 	return fits, isServed
 }
 
-// Cancel gives up a job whose caller is gone or has cancelled it.
-func (h *Holder) Cancel(now time.Time, entryVM, id string, everywhere bool, out *Effects) {
+// CancelJob gives up a job that its caller has cancelled, and refuses it from now on.
+func (h *Holder) CancelJob(now time.Time, entryVM, id string, out *Effects) {
 	h.out = out
-	if everywhere {
-		h.cancelled[id] = now
-	}
-	j := h.jobs[id]
-	if j == nil || j.entry != entryVM && !everywhere {
-		return
+	h.cancelled[id] = now
+	for key, j := range h.jobs {
+		if key.ID == id && !j.stopping {
+			h.decide(Decision{Event: "job-cancelled", Job: id, Request: j.Request, Peer: entryVM})
+			h.giveUp(now, j, Answer{Outcome: Cancelled})
+		}
 	}
-	if j.stopping {
+}
+
+// Withdraw gives up a part of a job that its entry does not want any more.
+func (h *Holder) Withdraw(now time.Time, entryVM, id string, part int, out *Effects) {
+	h.out = out
+	j := h.jobs[Key{id, part}]
+	if j == nil || j.entry != entryVM || j.stopping {
 		return
 	}
-	h.decide(Decision{Event: "job-cancelled", Job: id, Request: j.Request, Peer: entryVM})
-	answer := Answer{Outcome: Lost, Reason: "its entry gave the job up"}
-	if everywhere {
-		answer.Outcome = Cancelled
-	}
-	h.giveUp(now, j, answer)
+	h.decide(Decision{Event: "job-withdrawn", Job: id, Request: j.Request, Peer: entryVM})
+	h.giveUp(now, j, Answer{Outcome: Lost, Reason: "its entry gave the job up"})
 }
 
 // abandon gives up the jobs of an entry.
@@ -167,10 +174,10 @@
 
 // finish answers a job and forgets it.
 func (h *Holder) finish(now time.Time, j *job, a Answer) {
-	a.ID, a.Attempt, a.Started = j.ID, j.Attempt, j.started
-	delete(h.jobs, j.ID)
+	a.ID, a.Part, a.Attempt, a.Started = j.ID, j.Part, j.Attempt, j.started
+	delete(h.jobs, j.Key())
 	h.unqueue(j)
-	h.answers[j.ID] = remembered{j.entry, a, now}
+	h.answers[j.Key()] = remembered{j.entry, a, j.tasks(), now}
 	h.decide(Decision{
 		Event: "job-" + outcomeName(a.Outcome), Job: j.ID, Request: j.Request, Peer: j.entry, Reason: a.Reason,
 		Wait: now.Sub(j.arrivedAt), IsFault: a.Outcome != Completed,
@@ -202,7 +209,7 @@
 // and ends a job that waited for its runs to be gone.
 func (h *Holder) afterRun(now time.Time, r *run) {
 	j := r.task.job
-	if h.jobs[j.ID] != j {
+	if h.jobs[j.Key()] != j {
 		return
 	}
 	if j.stopping {
--- a/internal/holder/order.go
+++ b/internal/holder/order.go
@@ -5,6 +5,9 @@
 // Order is a job as an entry hands it to a holder.
 type Order struct {
 	ID string
+	// Part numbers the parts of a job that different holders run, and First is the
+	// index of the part's first task in the job.
+	Part, First int
 	// Request is the caller's name of the request, for logs.
 	Request string
 	// Attempt counts the holders that were given the job, from 0.
@@ -22,8 +25,22 @@
 	Priority  int
 	// AcceptLate asks to take the job though it will miss its objective.
 	AcceptLate bool
+	// Force asks to take a part however long it waits, since others of its job run.
+	Force bool
 }
 
+// Key names a part of a job.
+func (o *Order) Key() Key { return Key{o.ID, o.Part} }
+
+// Key names a part of a job.
+type Key struct {
+	ID   string
+	Part int
+}
+
+// tasks returns the first task's index and the number of tasks of the first step.
+func (o *Order) tasks() [2]int { return [2]int{o.First, o.Steps[0].Count} }
+
 // Step is a group of equal tasks.
 type Step struct {
 	Count    int
@@ -84,6 +101,7 @@
 // Answer is what a holder tells the entry of a job.
 type Answer struct {
 	ID      string
+	Part    int
 	Attempt int
 	Outcome Outcome
 	// Started says that a task of the job was started or may have been.
