--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -26,6 +26,7 @@
 	"bronzedrift.example/bronzedrift/internal/recorder"
 	"bronzedrift.example/bronzedrift/internal/replicator"
 	"bronzedrift.example/bronzedrift/internal/storer"
+	"bronzedrift.example/bronzedrift/internal/supervisor"
 	"bronzedrift.example/bronzedrift/internal/tracker"
 )
 
@@ -233,17 +234,17 @@
 func (d *Conductor) Run(ctx context.Context) error {
 	defer close(d.done)
 	d.ctx = ctx
-	supervisor := suture.New("conductor", suture.Spec{
+	duties := suture.New("conductor", suture.Spec{
 		EventHook: d.supervised, FailureDecay: failureDecay, PassThroughPanics: true,
 	})
-	supervisor.Add(duty{"decisions", d.decide})
-	supervisor.Add(duty{"messenger", d.messenger.Serve})
-	supervisor.Add(duty{"keeper", d.keeper.Serve})
+	duties.Add(supervisor.Duty{Name: "decisions", Run: d.decide})
+	duties.Add(supervisor.Duty{Name: "messenger", Run: d.messenger.Serve})
+	duties.Add(supervisor.Duty{Name: "keeper", Run: d.keeper.Serve})
 	if d.disk != nil {
-		supervisor.Add(duty{"memory", d.remember})
+		duties.Add(supervisor.Duty{Name: "memory", Run: d.remember})
 	}
 	d.event(recorder.Event{Number: recorder.DaemonStarted, Task: recorder.NoTask})
-	err := supervisor.Serve(ctx)
+	err := duties.Serve(ctx)
 	d.event(recorder.Event{Number: recorder.DaemonStopped, Task: recorder.NoTask})
 	if err != nil && !errors.Is(err, context.Canceled) {
 		return fmt.Errorf("conductor: %w", err)
@@ -251,21 +252,9 @@
 	return nil
 }
 
-// duty is one supervised goroutine.
-type duty struct {
-	name  string
-	serve func(ctx context.Context) error
-}
-
-// Serve is called by the supervisor.
-func (u duty) Serve(ctx context.Context) error { return u.serve(ctx) }
-
-// String names the duty in events.
-func (u duty) String() string { return u.name }
-
 func (d *Conductor) supervised(e suture.Event) {
-	if e.Type() == suture.EventTypeServiceTerminate || e.Type() == suture.EventTypeServicePanic {
-		d.event(recorder.Event{Number: recorder.DutyRestarted, Text: e.String(), Task: recorder.NoTask})
+	if text := supervisor.Failure(e); text != "" {
+		d.event(recorder.Event{Number: recorder.DutyRestarted, Text: text, Task: recorder.NoTask})
 	}
 }
 
@@ -330,113 +319,6 @@
 	d.idle.Store(d.isIdle())
 }
 
-func (d *Conductor) isIdle() bool {
-	return d.holder.IsIdle() && d.forwarder.Count() == 0
-}
-
-// isReady reports whether callers are served here: a configuration is in force
-// and a holder with upstreams is within reach.
-func (d *Conductor) isReady(now time.Time) bool {
-	if d.leaving || d.version.Load() == 0 {
-		return false
-	}
-	for _, p := range d.peers.Heard(now) {
-		if p.Load.TotalMilliCores > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// isSettled reports whether this VM has listened long enough to know who holds
-// what: less where all seeds were heard.
-func (d *Conductor) isSettled(now time.Time) bool {
-	age := now.Sub(d.startedAt)
-	settle := d.config.Timing.Settle
-	if age < settle || age >= settlePatience*settle {
-		return age >= settle
-	}
-	for _, s := range d.config.Seeds {
-		if s != d.config.Inner && !d.peers.IsHeard(now, s.String()) {
-			return false
-		}
-	}
-	return true
-}
-
-// settlePatience times the settling time is how long a VM waits for its seeds.
-const settlePatience = 2
-
-// beat tells all peers that this VM is alive, and what it offers. State VMs also
-// tell entries, more seldom, of the other entries of their data centre.
-func (d *Conductor) beat(now time.Time) {
-	h := tracker.Heartbeat{
-		VM: d.config.Inner.String(), Incarnation: d.incarnation,
-		DataCentre: d.config.DataCentre, IsState: d.config.IsState, IsLeaving: d.leaving, IsReady: d.isSettled(now),
-		Configuration: d.version.Load(), Neighbours: d.peers.Neighbours(now, ""), Load: d.holder.Load(now),
-	}
-	if !d.config.IsState {
-		d.peers.Hear(now, h)
-	}
-	pulse := encodeHeartbeat(&h)
-	d.beats++
-	withEntries := d.config.IsState && d.beats%entriesEvery == 0
-	full := map[string]*wire.Pulse{}
-	for _, vm := range d.peers.Known() {
-		p := d.peers.Peer(vm)
-		if !withEntries || p.IsState {
-			d.send(now, vm, &wire.Relay{Body: &wire.Relay_Pulse{Pulse: pulse}})
-			continue
-		}
-		if full[p.DataCentre] == nil {
-			h.Neighbours = d.peers.Neighbours(now, p.DataCentre)
-			full[p.DataCentre] = encodeHeartbeat(&h)
-		}
-		d.send(now, vm, &wire.Relay{Body: &wire.Relay_Pulse{Pulse: full[p.DataCentre]}})
-	}
-	for _, s := range d.config.Seeds {
-		if d.peers.Peer(s.String()) == nil {
-			d.send(now, s.String(), &wire.Relay{Body: &wire.Relay_Pulse{Pulse: pulse}})
-		}
-	}
-}
-
-func (d *Conductor) forget(now time.Time) {
-	for _, vm := range d.peers.Forget(now) {
-		if !d.isSeed(vm) {
-			d.messenger.RemovePeer(vm)
-		}
-	}
-	for number, s := range d.sessions {
-		if now.Sub(s.usedAt) > forgetAfter {
-			delete(d.sessions, number)
-		}
-	}
-	d.publishStateVMs()
-}
-
-// forgetAfter is the silence after which an inbound session is forgotten.
-const forgetAfter = time.Minute
-
-func (d *Conductor) isSeed(vm string) bool {
-	for _, s := range d.config.Seeds {
-		if s.String() == vm {
-			return true
-		}
-	}
-	return false
-}
-
-func (d *Conductor) publishStateVMs() {
-	list := d.peers.StateVMs()
-	for _, s := range d.config.Seeds {
-		if d.peers.Peer(s.String()) == nil && s != d.config.Inner {
-			list = append(list, s.String())
-		}
-	}
-	d.stateVMs.Store(&list)
-}
-
 func (d *Conductor) send(now time.Time, to string, r *wire.Relay) {
 	if to == d.config.Inner.String() {
 		return
--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -43,7 +43,6 @@
 		d.forward(now, &f.Sends[i])
 	}
 	for i := range f.Verdicts {
-		d.metrics.answered(f.Verdicts[i].Result)
 		d.reply(f.Verdicts[i])
 	}
 	d.logDecisions(f.Decisions)
@@ -104,7 +103,7 @@
 	}
 	for i := range decisions {
 		c := &decisions[i]
-		d.metrics.decided(c.Event)
+		d.metrics.decided(c)
 		if !d.budget.Allow(now, c.Event, c.IsFault) {
 			continue
 		}
--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -2,37 +2,54 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"bronzedrift.example/bronzedrift/internal/forwarder"
+	"bronzedrift.example/bronzedrift/internal/holder"
 )
 
-// metrics are the counters of one VM; their labels are bounded by the code.
+// metrics are the counters and latencies of one VM; their labels are bounded by
+// the code.
 type metrics struct {
 	registry  *prometheus.Registry
 	decisions *prometheus.CounterVec
-	answers   *prometheus.CounterVec
+	answers   *prometheus.HistogramVec
+	starts    prometheus.Histogram
 }
 
+// latencyBuckets double from 5 ms to 10 s, in seconds: objectives are 0.1 to 2 s.
+var latencyBuckets = prometheus.ExponentialBuckets(0.005, 2, 12)
+
+const answeredPrefix = "answered-"
+
 func newMetrics() metrics {
 	m := metrics{
 		registry: prometheus.NewRegistry(),
 		decisions: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bronzedrift_decisions_total", Help: "Decisions by event.",
 		}, []string{"event"}),
-		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "bronzedrift_answers_total", Help: "Answers to callers by result.",
+		answers: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "bronzedrift_answer_seconds", Help: "Time to the answer of a job by result.", Buckets: latencyBuckets,
 		}, []string{"result"}),
+		starts: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "bronzedrift_start_seconds", Help: "Time from a job's arrival at its holder to a start.", Buckets: latencyBuckets,
+		}),
 	}
-	m.registry.MustRegister(m.decisions, m.answers)
+	m.registry.MustRegister(m.decisions, m.answers, m.starts)
 	return m
 }
 
-func (m *metrics) decided(event string) { m.decisions.WithLabelValues(event).Inc() }
-
-func (m *metrics) answered(r forwarder.Result) { m.answers.WithLabelValues(r.Name()).Inc() }
+func (m *metrics) decided(d *holder.Decision) {
+	m.decisions.WithLabelValues(d.Event).Inc()
+	if result, ok := strings.CutPrefix(d.Event, answeredPrefix); ok {
+		m.answers.WithLabelValues(result).Observe(d.Wait.Seconds())
+	}
+	if d.Event == "task-started" {
+		m.starts.Observe(d.Wait.Seconds())
+	}
+}
 
 // MetricsHandler serves the metrics as text.
 func (d *Conductor) MetricsHandler() http.Handler {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"bronzedrift.example/bronzedrift/internal/messenger"
 	"bronzedrift.example/bronzedrift/internal/recorder"
 	"bronzedrift.example/bronzedrift/internal/sender"
+	"bronzedrift.example/bronzedrift/internal/supervisor"
 )
 
 // Daemon is one running daemon.
@@ -141,19 +142,19 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	supervisor := suture.New("bronzedriftd", suture.Spec{
+	duties := suture.New("bronzedriftd", suture.Spec{
 		EventHook:         d.supervised,
 		FailureDecay:      failureDecay,
 		Timeout:           shutdownGrace * 2,
 		PassThroughPanics: true,
 	})
-	supervisor.Add(duty{"decisions", d.decide})
-	supervisor.Add(duty{"messenger", d.messenger.Serve})
-	supervisor.Add(duty{"keeper", d.keeper.Serve})
-	if err := d.addListeners(supervisor); err != nil {
+	duties.Add(supervisor.Duty{Name: "decisions", Run: d.decide})
+	duties.Add(supervisor.Duty{Name: "messenger", Run: d.messenger.Serve})
+	duties.Add(supervisor.Duty{Name: "keeper", Run: d.keeper.Serve})
+	if err := d.addListeners(duties); err != nil {
 		return err
 	}
-	ended := supervisor.ServeBackground(running)
+	ended := duties.ServeBackground(running)
 	d.event(recorder.Event{Number: recorder.DaemonStarted, Task: recorder.NoTask})
 	select {
 	case <-ctx.Done():
@@ -177,7 +178,7 @@
 // addListeners opens the HTTP listeners. That of the callers opens only after
 // twice the allowed clock skew, so that the time in a new job's id is later
 // than the start of this daemon.
-func (d *Daemon) addListeners(supervisor *suture.Supervisor) error {
+func (d *Daemon) addListeners(duties *suture.Supervisor) error {
 	l := d.settings.Listen
 	operators, err := open(l.Operators)
 	if err != nil {
@@ -188,14 +189,14 @@
 		_ = operators.Close()
 		return err
 	}
-	supervisor.Add(duty{"operators", func(ctx context.Context) error {
+	duties.Add(supervisor.Duty{Name: "operators", Run: func(ctx context.Context) error {
 		return listener.Serve(ctx, operators, d.listener.Operators(), shutdownGrace)
 	}})
-	supervisor.Add(duty{"metrics", func(ctx context.Context) error {
+	duties.Add(supervisor.Duty{Name: "metrics", Run: func(ctx context.Context) error {
 		return listener.Serve(ctx, metrics, d.metricsHandler(), shutdownGrace)
 	}})
 	if d.settings.Has(loader.Entry) {
-		supervisor.Add(duty{"callers", d.serveCallers})
+		duties.Add(supervisor.Duty{Name: "callers", Run: d.serveCallers})
 	}
 	return nil
 }
@@ -242,20 +243,8 @@
 	return err != nil || idle && d.waiters.count() == 0
 }
 
-// duty is one supervised goroutine.
-type duty struct {
-	name  string
-	serve func(ctx context.Context) error
-}
-
-// Serve is called by the supervisor.
-func (u duty) Serve(ctx context.Context) error { return u.serve(ctx) }
-
-// String names the duty in events.
-func (u duty) String() string { return u.name }
-
 func (d *Daemon) supervised(e suture.Event) {
-	if e.Type() == suture.EventTypeServiceTerminate || e.Type() == suture.EventTypeServicePanic {
-		d.event(recorder.Event{Number: recorder.DutyRestarted, Text: e.String(), Task: recorder.NoTask})
+	if text := supervisor.Failure(e); text != "" {
+		d.event(recorder.Event{Number: recorder.DutyRestarted, Text: text, Task: recorder.NoTask})
 	}
 }
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -215,28 +215,6 @@
 	return 0
 }
 
-// UpstreamStatus is what operators see of an upstream.
-type UpstreamStatus struct {
-	Upstream Upstream
-	Holder   string
-	Token    uint64
-	Held     bool
-	Runs     int
-	Speed    float64
-}
-
-// Upstreams returns all upstreams known here, by id.
-func (h *Holder) Upstreams() []UpstreamStatus {
-	list := make([]UpstreamStatus, 0, len(h.upstreams))
-	for _, u := range h.upstreams {
-		list = append(list, UpstreamStatus{
-			Upstream: u.Upstream, Holder: u.holder, Token: u.token, Held: u.phase == active, Runs: len(u.runs), Speed: u.speed,
-		})
-	}
-	sort.Slice(list, func(i, k int) bool { return list[i].Upstream.ID < list[k].Upstream.ID })
-	return list
-}
-
 // Notices returns all that is known of the upstreams, for a VM on a new link.
 func (h *Holder) Notices() []Notice {
 	list := make([]Notice, 0, len(h.upstreams))
