--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -80,8 +80,7 @@
 	idle        atomic.Bool
 	leaving     bool
 	beats       int
-	// aloneSince is when an entry lost sight of all state VMs.
-	aloneSince time.Time
+	absence     absence
 	// local are messages of this VM to itself.
 	local      []func(now time.Time)
 	startedAt  time.Time
@@ -143,6 +142,7 @@
 	}
 	d.startedAt = now()
 	d.lastAt = d.startedAt
+	d.absence.startedAt = d.startedAt
 	d.holder = holder.New(holderConfig(&c))
 	d.forwarder = forwarder.New(c.DataCentre, c.Timing, d.peers)
 	d.stateVMs.Store(&[]string{})
--- a/internal/conductor/standin.go
+++ b/internal/conductor/standin.go
@@ -13,24 +13,53 @@
 	// standInAfter is how long an entry that hears no state VM listens to other
 	// entries, which may hear one, before it holds upstreams itself.
 	standInAfter = 250 * time.Millisecond
+	// firstHearing is how long an entry that has started waits for a first word of
+	// a state VM: after a loss of power these may start later, and without them the
+	// entry knows of no upstreams that another entry does not hold.
+	firstHearing = 2 * time.Second
 	// remoteWitnesses is how many entries of each other data centre are asked.
 	remoteWitnesses = 2
 )
 
+// absence is what an entry knows of the state VMs' absence.
+type absence struct {
+	startedAt time.Time
+	// since is when the entry lost sight of all state VMs, zero while it hears one.
+	since    time.Time
+	hasHeard bool
+}
+
+// observe notes whether a state VM is heard, and reports whether the last has just
+// been lost.
+func (a *absence) observe(now time.Time, hears bool) bool {
+	if hears {
+		a.since, a.hasHeard = time.Time{}, true
+		return false
+	}
+	if !a.since.IsZero() {
+		return false
+	}
+	a.since = now
+	return true
+}
+
+// allowsStandIn reports whether the entry may hold upstreams itself.
+func (a *absence) allowsStandIn(now time.Time) bool {
+	if a.since.IsZero() || now.Sub(a.since) < standInAfter {
+		return false
+	}
+	return a.hasHeard || now.Sub(a.startedAt) >= firstHearing
+}
+
 // standIn links entries to each other while they see no state VM, so that they
 // hold the upstreams of their data centre meanwhile.
 func (d *Conductor) standIn(now time.Time) {
 	if d.config.IsState {
 		return
 	}
-	if d.hearsStateVM(now) {
-		d.aloneSince = time.Time{}
-		return
-	}
-	if !d.aloneSince.IsZero() {
+	if !d.absence.observe(now, d.hearsStateVM(now)) {
 		return
 	}
-	d.aloneSince = now
 	d.logDecisions([]holder.Decision{{Event: "state-vms-lost", IsFault: true}})
 	for _, vm := range d.witnesses() {
 		d.link(vm)
@@ -73,8 +102,7 @@
 func (d *Conductor) withinReach(now time.Time) []holder.Peer {
 	self := holder.Peer{VM: d.config.Inner.String(), DataCentre: d.config.DataCentre, CanHold: true, IsReady: d.isSettled(now)}
 	list := d.peers.Holders(now)
-	standsIn := !d.config.IsState && len(list) == 0 && !d.aloneSince.IsZero() &&
-		now.Sub(d.aloneSince) >= standInAfter && d.isSettled(now)
+	standsIn := !d.config.IsState && len(list) == 0 && d.absence.allowsStandIn(now)
 	if !d.leaving && (d.config.IsState || standsIn) {
 		list = append(list, self)
 	}
