Lists of an earlier life, answers to a former try and fenced VMs: three faults found by reading

A list that an upstream sent before it began a new life made it held and set the number of the last end, so that ends of the new life would have been missed. 2. An answer to a former submission of a job could have ended the present one, whose parts are others. 3. A fenced VM raised the token that it knew of, took the other VM's word for out of date, and took the upstream back by force after a second. Each has a test that failed first: TestListOfAnEarlierLife, TestAnswerToAFormerTry, TestFencedWaitsForHandover.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -79,6 +79,8 @@
 	left      int
 	// started says that a task of the job was started or may have been.
 	started bool
+	// firstAttempt is the least number of an attempt at this submission.
+	firstAttempt int
 }
 
 // part is the tasks of a job that one holder runs.
@@ -143,7 +145,7 @@
 		j.order.Remaining = max(j.order.Remaining, now.Sub(j.arrivedAt)+o.Remaining)
 		return
 	}
-	j := &job{order: o, waiters: []uint64{waiter}, arrivedAt: now}
+	j := &job{order: o, waiters: []uint64{waiter}, arrivedAt: now, firstAttempt: f.attempt + 1}
 	f.jobs[o.ID] = j
 	f.split(now, j)
 	for _, p := range j.parts {
@@ -240,7 +242,7 @@
 func (f *Forwarder) Answer(now time.Time, from string, a holder.Answer, out *Effects) {
 	f.out = out
 	j := f.jobs[a.ID]
-	if j == nil || a.Part >= len(j.parts) || j.parts[a.Part].done {
+	if j == nil || a.Attempt < j.firstAttempt || a.Part >= len(j.parts) || j.parts[a.Part].done {
 		return
 	}
 	p := j.parts[a.Part]
--- /dev/null
+++ b/internal/forwarder/forwarder_test.go
@@ -0,0 +1,41 @@
+package forwarder
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"bronzedrift.example/bronzedrift/internal/holder"
+	"bronzedrift.example/bronzedrift/internal/tracker"
+)
+
+// TestAnswerToAFormerTry holds that a late answer to a former submission of a job
+// does not end the present one, whose parts are others.
+func TestAnswerToAFormerTry(t *testing.T) {
+	now := time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+	peers := tracker.New("entry")
+	peers.Hear(now, tracker.Heartbeat{
+		VM: "state", Incarnation: "1", IsState: true, IsReady: true,
+		Load: holder.Load{TotalMilliCores: 32_000, FreeMilliCores: 32_000, Places: make([]int, len(holder.PlaceSizes))},
+	})
+	f := New("a", holder.DefaultTiming(), peers)
+	order := holder.Order{
+		ID: "j", Service: "s", Objective: time.Second, Remaining: 5 * time.Second,
+		Steps: []holder.Step{{Count: 2, Needs: holder.Capacity{MilliCores: 1000}, Estimate: 100 * time.Millisecond}},
+	}
+	var out Effects
+	f.Submit(now, order, 1, &out)
+	require.Len(t, out.Sends, 1)
+	former := out.Sends[0].Order.Attempt
+	f.Leave(now, "j", 1, &out)
+	out = Effects{}
+	f.Submit(now, order, 2, &out)
+	require.Len(t, out.Sends, 1)
+	f.Answer(now, "state", holder.Answer{ID: "j", Attempt: former, Outcome: holder.Completed}, &out)
+	assert.Empty(t, out.Verdicts, "answered by a former try")
+	f.Answer(now, "state", holder.Answer{ID: "j", Attempt: out.Sends[0].Order.Attempt, Outcome: holder.Completed}, &out)
+	require.Len(t, out.Verdicts, 1)
+	assert.Equal(t, Completed, out.Verdicts[0].Result)
+}
--- a/internal/holder/assign.go
+++ b/internal/holder/assign.go
@@ -235,8 +235,8 @@
 	return best
 }
 
-// fencedStep is added to a token that was refused, in milliseconds: the other
-// VM's clock may be ahead by some seconds.
+// fencedStep is added to a token that was refused by one that is not known, in
+// milliseconds: the other VM's clock may be ahead by some seconds.
 const fencedStep = 5000
 
 // tokenBits are the low bits of a token, which differ by VM.
@@ -247,6 +247,9 @@
 func (h *Holder) nextToken(now time.Time, u *held) uint64 {
 	millis := uint64(max(0, now.Sub(h.config.TokenEpoch).Milliseconds()))
 	millis = max(millis, u.token>>tokenBits+1)
+	if u.refused >= u.token {
+		millis = max(millis, u.refused>>tokenBits+fencedStep)
+	}
 	return millis<<tokenBits | xxhash.Sum64String(h.config.VM)&(1<<tokenBits-1)
 }
 
@@ -298,7 +301,7 @@
 	u.holder = ""
 	h.out.Notices = append(h.out.Notices, Notice{Upstream: u.Upstream, Token: u.token})
 	u.retakeAt = now.Add(retakeDelay)
-	u.token += fencedStep << tokenBits
+	u.refused = u.token
 	for _, r := range u.runs {
 		r.state = doubtful
 	}
@@ -315,7 +318,6 @@
 	if u.phase == active || u.phase == taking || u.phase == releasing {
 		u.phase = taking
 		u.holdOut, u.holdRetryAt = false, time.Time{}
-		u.life++
 	}
 }
 
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -8,16 +8,16 @@
 type held struct {
 	Upstream
 	// holder and token are of the VM that is known to hold the upstream.
-	holder    string
-	token     uint64
+	holder string
+	token  uint64
+	// refused is the token of this VM that was refused last.
+	refused   uint64
 	noticedAt time.Time
 	heardAt   time.Time
 	phase     phase
 	retakeAt  time.Time
 	// tombstoneAt is when the upstream left.
 	tombstoneAt time.Time
-	// life counts the lives seen, so that answers of earlier ones are told apart.
-	life int
 	// takeTries counts the attempts to take the upstream that failed since it
 	// was last heard at first hand.
 	takeTries int
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -1,11 +1,13 @@
 package holder
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 var testStart = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
@@ -48,3 +50,57 @@
 		})
 	}
 }
+
+// newActive returns a holder that holds one upstream, and the call that took it.
+func newActive(t *testing.T, peers ...Peer) (*Holder, Upstream, Call) {
+	t.Helper()
+	h := New(Config{VM: "1", DataCentre: "a", Timing: DefaultTiming(), TokenEpoch: testStart, BlindTries: 2})
+	h.SetPeers(append(peers, Peer{VM: "1", DataCentre: "a", CanHold: true, IsReady: true}))
+	u := testUpstream("u", "a")
+	for i := 0; ; i++ {
+		u.ID = fmt.Sprint("u", i)
+		var out Effects
+		h.Report(testStart, u, &out)
+		if h.HolderOf(u.ID) == "1" {
+			break
+		}
+		h.Left(testStart, u.ID, &out)
+	}
+	calls := callsAfter(h, testStart)
+	require.Len(t, calls, 1)
+	var out Effects
+	h.Result(calls[0].SentAt, &CallResult{Call: calls[0], Status: CallOK, Clock: time.Second, Born: u.Born}, &out)
+	require.Equal(t, active, h.upstreams[u.ID].phase)
+	return h, u, calls[0]
+}
+
+// TestListOfAnEarlierLife holds that a list which an upstream sent before it began a
+// new life says nothing of that: its numbers of ends start anew.
+func TestListOfAnEarlierLife(t *testing.T) {
+	h, u, call := newActive(t)
+	now := call.SentAt.Add(time.Second)
+	reborn := u
+	reborn.Born, reborn.Sequence = u.Born.Add(time.Second), 1
+	var out Effects
+	h.Report(now, reborn, &out)
+	require.Equal(t, taking, h.upstreams[u.ID].phase)
+	h.Result(now, &CallResult{Call: call, Status: CallOK, Clock: time.Second, Born: u.Born, Ended: []RunEnd{{Number: 100, Task: "t", Run: 1}}}, &out)
+	assert.Equal(t, taking, h.upstreams[u.ID].phase, "held by the word of an earlier life")
+	assert.Zero(t, h.upstreams[u.ID].lastEnd, "ends of the new life would be missed")
+}
+
+// TestFencedWaitsForHandover holds that a VM which was fenced does not take the
+// upstream back by force while the other one says that it holds it.
+func TestFencedWaitsForHandover(t *testing.T) {
+	h, u, call := newActive(t, Peer{VM: "2", DataCentre: "a", CanHold: true, IsReady: true})
+	now := call.SentAt.Add(time.Second)
+	var out Effects
+	h.Result(now, &CallResult{Call: call, Status: CallFenced}, &out)
+	h.Notice(now, "2", Notice{Upstream: u, Holder: "2", Token: call.Token + 1<<tokenBits}, &out)
+	out.Reset()
+	h.Tick(now.Add(retakeDelay+assignEvery), &out)
+	assert.Empty(t, out.Calls, "taken by force")
+	h.Handover(now.Add(2*retakeDelay), "2", u.ID, call.Token+1<<tokenBits, &out)
+	require.Len(t, out.Calls, 1)
+	assert.Greater(t, out.Calls[0].Token, call.Token+1<<tokenBits)
+}
--- a/internal/holder/results.go
+++ b/internal/holder/results.go
@@ -16,7 +16,10 @@
 		u.Born = r.Born
 		return
 	}
-	if r.Clock > 0 && !r.Born.Before(u.Born) {
+	if !r.Born.IsZero() && r.Born.Before(u.Born) {
+		return
+	}
+	if r.Clock > 0 {
 		u.observeClock(now, r.Clock)
 	}
 	if r.Status == CallOtherLife {
