A holder that is behind refuses new jobs at once, and does less for each waiting one

Every answer of an upstream went through up to 64 waiting jobs times 70 upstreams; each VM passed on to all what another had passed on to it; late orders (1,200 a second) were dropped without an answer, so that callers waited to their deadlines; heartbeats were read late and jobs of living entries given up.

Change: a round of placing skips tasks larger than one that found no room, and is made only when a place came free or a task waits anew; VMs pass on only what upstreams told them; late orders and orders to a VM with 250 waiting inputs are refused as not run, remembered for the same attempt, while known jobs go on.

Tests: TestBehindRefusesOnlyNewJobs, TestFullHolderPlacesAgain.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -116,7 +116,10 @@
 	// linkHeartbeat and linkSilence replace a link that swallows what is sent.
 	linkHeartbeat = 250 * time.Millisecond
 	linkSilence   = 350 * time.Millisecond
-	forgetEvery   = time.Second
+	// maxBehind is the number of waiting inputs above which a VM takes no new jobs:
+	// at about 200 us each it is then 50 ms behind, well before leases lapse.
+	maxBehind   = 250
+	forgetEvery = time.Second
 	// entriesEvery is how many heartbeats apart entries are told of each other.
 	entriesEvery = 10
 	// logLines and logFaults bound the lines of decisions in a second: at about
--- a/internal/conductor/receive.go
+++ b/internal/conductor/receive.go
@@ -105,7 +105,11 @@
 		return
 	}
 	if delay > lateOrder {
-		d.event(recorder.Event{Number: recorder.OrderLate, Job: o.ID, Peer: from, Text: delay.String(), Task: recorder.NoTask})
+		d.holder.SubmitUnlessNew(now, from, o, "the order came late", &d.holderOut)
+		return
+	}
+	if len(d.inputs) > maxBehind {
+		d.holder.SubmitUnlessNew(now, from, o, "this VM is behind with its work", &d.holderOut)
 		return
 	}
 	d.holder.Hear(now, from, incarnation, &d.holderOut)
--- a/internal/holder/assign.go
+++ b/internal/holder/assign.go
@@ -10,7 +10,7 @@
 // Report takes a heartbeat that an upstream has sent to this VM.
 func (h *Holder) Report(now time.Time, u Upstream, out *Effects) {
 	h.out = out
-	known := h.learn(now, u)
+	known := h.learn(now, u, true)
 	if known == nil {
 		return
 	}
@@ -41,13 +41,13 @@
 	}
 	last := u.Upstream
 	last.State, last.Sequence = Gone, math.MaxUint64
-	h.learn(now, last)
+	h.learn(now, last, true)
 }
 
 // Notice takes what another VM says of an upstream.
 func (h *Holder) Notice(now time.Time, from string, n Notice, out *Effects) {
 	h.out = out
-	u := h.learn(now, n.Upstream)
+	u := h.learn(now, n.Upstream, false)
 	if u == nil {
 		return
 	}
@@ -64,8 +64,9 @@
 	}
 }
 
-// learn keeps a heartbeat that is newer than what is known.
-func (h *Holder) learn(now time.Time, n Upstream) *held {
+// learn keeps a heartbeat that is newer than what is known. Others are told only of
+// what the upstream has said to this VM: each tells all.
+func (h *Holder) learn(now time.Time, n Upstream, isFirstHand bool) *held {
 	u := h.upstreams[n.ID]
 	if u == nil {
 		if n.State == Gone {
@@ -77,7 +78,9 @@
 		u.retakeAt = h.remoteTakeAt(now, u)
 		u.observeClock(now, n.Clock)
 		h.decide(Decision{Event: "upstream-learnt", Upstream: n.ID, Reason: n.Address.String()})
-		h.out.Notices = append(h.out.Notices, Notice{Upstream: n})
+		if isFirstHand {
+			h.out.Notices = append(h.out.Notices, Notice{Upstream: n})
+		}
 		return u
 	}
 	if !n.isNewerThan(&u.Upstream) {
@@ -92,7 +95,9 @@
 	u.observeClock(now, n.Clock)
 	if n.changes(&before) {
 		h.decide(Decision{Event: "upstream-changed", Upstream: n.ID, Reason: stateName(n.State)})
-		h.out.Notices = append(h.out.Notices, Notice{Upstream: n, Holder: u.holderIfOurs(h.config.VM), Token: u.token})
+		if isFirstHand {
+			h.out.Notices = append(h.out.Notices, Notice{Upstream: n, Holder: u.holderIfOurs(h.config.VM), Token: u.token})
+		}
 	}
 	if n.State == Gone {
 		h.drop(now, u, "the upstream has left")
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -41,6 +41,9 @@
 	entries   map[string]*entry
 	peers     []Peer
 	leaving   bool
+	// isPlacing says that a place has come free or a task waits anew since tasks
+	// were placed last.
+	isPlacing bool
 	assignAt  time.Time
 	noticeAt  time.Time
 	out       *Effects
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -104,3 +104,61 @@
 	require.Len(t, out.Calls, 1)
 	assert.Greater(t, out.Calls[0].Token, call.Token+1<<tokenBits)
 }
+
+func testOrder(id string, attempt int) Order {
+	return Order{
+		ID: id, Attempt: attempt, Service: "booking", MaxAttempts: 2, Objective: time.Second, Remaining: 5 * time.Second,
+		Steps: []Step{{Count: 1, Needs: Capacity{MilliCores: 1000}, Estimate: 100 * time.Millisecond}},
+	}
+}
+
+// TestBehindRefusesOnlyNewJobs answers the pattern in which more jobs come than a VM
+// can look at: new ones are refused at once, and what runs is never said not to run.
+func TestBehindRefusesOnlyNewJobs(t *testing.T) {
+	h, _, call := newActive(t)
+	now := call.SentAt.Add(time.Second)
+	var out Effects
+	h.Submit(now, "entry", testOrder("runs", 1), &out)
+	require.Len(t, out.Calls, 1)
+	out.Reset()
+	h.SubmitUnlessNew(now, "entry", testOrder("runs", 1), "behind", &out)
+	assert.Empty(t, out.Replies, "a running job was refused when it was sent again")
+	h.SubmitUnlessNew(now, "entry", testOrder("new", 2), "behind", &out)
+	require.Len(t, out.Replies, 1)
+	assert.Equal(t, Busy, out.Replies[0].Answer.Outcome)
+	out.Reset()
+	h.Submit(now, "entry", testOrder("new", 2), &out)
+	assert.Empty(t, out.Calls, "the refused attempt was started when it came again")
+	h.Submit(now, "entry", testOrder("new", 3), &out)
+	assert.Len(t, out.Calls, 1, "the next attempt is a new order")
+}
+
+// TestFullHolderPlacesAgain answers the pattern in which many jobs wait for places:
+// one that finds none keeps no smaller one back, and an end places the next.
+func TestFullHolderPlacesAgain(t *testing.T) {
+	h, u, call := newActive(t)
+	now := call.SentAt.Add(time.Second)
+	var out Effects
+	large, small := testOrder("large", 1), testOrder("small", 2)
+	large.Steps[0].Needs.MilliCores = 20_000
+	h.Submit(now, "entry", large, &out)
+	second := large
+	second.ID = "second"
+	second.Force = true
+	h.Submit(now, "entry", second, &out)
+	small.Force = true
+	h.Submit(now, "entry", small, &out)
+	require.Len(t, out.Calls, 2, "large and small run, the second large one waits")
+	start := out.Calls[0]
+	h.Result(now, &CallResult{Call: start, Status: CallOK, Clock: 3 * time.Second}, &out)
+	out.Reset()
+	h.hold(now, h.upstreams[u.ID], 0)
+	list := out.Calls[0]
+	out.Reset()
+	h.Result(now, &CallResult{
+		Call: list, Status: CallOK, Clock: 3 * time.Second, Born: u.Born,
+		Ended: []RunEnd{{Number: 1, Task: start.Task, Run: start.Run, How: EndDone}},
+	}, &out)
+	require.NotEmpty(t, out.Calls)
+	assert.Equal(t, "second.0.0.0", out.Calls[0].Task)
+}
--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -22,12 +22,7 @@
 		return
 	}
 	if refusal := h.refuse(now, &o); refusal != nil {
-		h.decide(Decision{
-			Event: "job-refused", Job: o.ID, Request: o.Request, Peer: entryVM, Reason: refusal.Reason, Wait: refusal.Wait,
-		})
-		refusal.ID, refusal.Part, refusal.Attempt = o.ID, o.Part, o.Attempt
-		h.answers[o.Key()] = remembered{entryVM, *refusal, o.tasks(), now}
-		h.out.Replies = append(h.out.Replies, Reply{entryVM, *refusal})
+		h.refuseOrder(now, entryVM, &o, refusal)
 		return
 	}
 	j := newJob(now, entryVM, o)
@@ -54,6 +49,30 @@
 	}})
 }
 
+// SubmitUnlessNew takes an order that is known, and refuses a new one for a reason of
+// this VM: it came late, or the VM is behind with its work.
+func (h *Holder) SubmitUnlessNew(now time.Time, entryVM string, o Order, reason string, out *Effects) {
+	r, isAnswered := h.answers[o.Key()]
+	if h.jobs[o.Key()] != nil || isAnswered && r.isFor(entryVM, &o) {
+		h.Submit(now, entryVM, o, out)
+		return
+	}
+	h.out = out
+	h.refuseOrder(now, entryVM, &o, &Answer{Outcome: Busy, Wait: behindWait, Reason: reason})
+}
+
+// refuseOrder answers an order of which nothing was started, and keeps the answer for
+// the same attempt.
+func (h *Holder) refuseOrder(now time.Time, entryVM string, o *Order, a *Answer) {
+	h.decide(Decision{Event: "job-refused", Job: o.ID, Request: o.Request, Peer: entryVM, Reason: a.Reason, Wait: a.Wait})
+	a.ID, a.Part, a.Attempt = o.ID, o.Part, o.Attempt
+	h.answers[o.Key()] = remembered{entryVM, *a, o.tasks(), now}
+	h.out.Replies = append(h.out.Replies, Reply{entryVM, *a})
+}
+
+// behindWait is the wait told by a VM that is behind with its work.
+const behindWait = 500 * time.Millisecond
+
 // refuse returns the answer to an order that cannot be served here in time.
 func (h *Holder) refuse(now time.Time, o *Order) *Answer {
 	if h.leaving {
@@ -209,6 +228,7 @@
 // afterRun puts a task whose run has gone without being done back in the queue,
 // and ends a job that waited for its runs to be gone.
 func (h *Holder) afterRun(now time.Time, r *run) {
+	h.isPlacing = true
 	j := r.task.job
 	if h.jobs[j.Key()] != j {
 		return
--- a/internal/holder/place.go
+++ b/internal/holder/place.go
@@ -13,14 +13,16 @@
 	if len(h.queue) == 0 {
 		return
 	}
+	h.isPlacing = false
 	sort.SliceStable(h.queue, func(i, k int) bool { return isBefore(now, h.queue[i], h.queue[k]) })
 	placed := h.queue[:0:0]
+	full := shapes{}
 	for i, j := range h.queue {
 		if i >= queueScan {
 			placed = append(placed, h.queue[i:]...)
 			break
 		}
-		if !h.placeJob(now, j) {
+		if !h.placeJob(now, j, full) {
 			placed = append(placed, j)
 		}
 	}
@@ -39,13 +41,33 @@
 	return aStart.Before(bStart)
 }
 
+// shapes are the smallest tasks that found no place in a round, by service and
+// label: no larger one finds any.
+type shapes map[shape]Capacity
+
+type shape struct{ service, label string }
+
+// excludes reports whether a task of a step cannot find a place either.
+func (s shapes) excludes(j *job, step *Step) bool {
+	least, ok := s[shape{j.Service, step.Label}]
+	return ok && least.fits(step.Needs)
+}
+
 // placeJob starts what it can of a job and reports whether nothing of it waits.
-func (h *Holder) placeJob(now time.Time, j *job) bool {
+func (h *Holder) placeJob(now time.Time, j *job, full shapes) bool {
 	waits := false
 	j.waiting(func(t *task) bool {
-		u := h.choose(now, t)
+		step := &j.Steps[t.step]
+		if full.excludes(j, step) {
+			waits = true
+			return false
+		}
+		u, isFull := h.choose(now, t)
 		if u == nil {
 			waits = true
+			if isFull {
+				full[shape{j.Service, step.Label}] = step.Needs
+			}
 			return false
 		}
 		h.start(now, u, t)
@@ -64,13 +86,18 @@
 	return false
 }
 
-// choose returns the upstream on which a task would end first.
-func (h *Holder) choose(now time.Time, t *task) *held {
-	var best *held
+// choose returns the upstream on which a task would end first, or whether none has
+// room for it.
+func (h *Holder) choose(now time.Time, t *task) (best *held, isFull bool) {
 	var bestEnd time.Duration
+	isFull = true
 	step := &t.job.Steps[t.step]
 	for _, u := range h.upstreams {
-		if !h.mayRun(now, u, t, step) {
+		if !u.hasRoom(now, t.job.Service, step) {
+			continue
+		}
+		isFull = false
+		if !h.mayRun(u, t, step) {
 			continue
 		}
 		end := h.weighedTime(u, t, step)
@@ -79,9 +106,9 @@
 		}
 	}
 	if best != nil && h.isWorthWaiting(now, t, step, bestEnd) {
-		return nil
+		return nil, false
 	}
-	return best
+	return best, isFull
 }
 
 // weighedTime is the expected run time, longer by what counts against the upstream.
@@ -151,13 +178,12 @@
 	return u.Capacity.MilliCores - u.used.MilliCores - s.Needs.MilliCores
 }
 
-func (h *Holder) mayRun(now time.Time, u *held, t *task, s *Step) bool {
-	if u.Service != t.job.Service || !u.isUsable(now) || !u.hasLabel(s.Label) {
-		return false
-	}
-	if !u.used.plus(s.Needs).fits(u.Capacity) {
-		return false
-	}
+func (u *held) hasRoom(now time.Time, service string, s *Step) bool {
+	return u.Service == service && u.used.plus(s.Needs).fits(u.Capacity) && u.isUsable(now) && u.hasLabel(s.Label)
+}
+
+// mayRun reports whether an upstream with room is to have a task.
+func (h *Holder) mayRun(u *held, t *task, s *Step) bool {
 	if u.failures >= pauseAfter && len(u.runs) > 0 {
 		return false
 	}
--- a/internal/holder/results.go
+++ b/internal/holder/results.go
@@ -37,7 +37,9 @@
 	case HoldCall:
 		h.holdResult(now, u, r)
 	}
-	h.place(now)
+	if h.isPlacing {
+		h.place(now)
+	}
 }
 
 // otherLife drops an upstream whose address belongs to another one by now.
@@ -146,6 +148,7 @@
 		}
 		return
 	}
+	h.isPlacing = h.isPlacing || u.isSilent
 	u.isSilent, u.listedAt = false, now
 	u.ackedEnd = max(u.ackedEnd, result.Call.LastEnd)
 	ended := h.takeEnds(now, u, result.Ended)
@@ -192,6 +195,7 @@
 			continue
 		}
 		u.free(r)
+		h.isPlacing = true
 		h.runEnded(now, u, r, e.How)
 	}
 	return ended
@@ -235,6 +239,7 @@
 		return
 	}
 	u.phase = active
+	h.isPlacing = true
 	h.decide(Decision{Event: "upstream-held", Upstream: u.ID})
 	h.out.Notices = append(h.out.Notices, Notice{Upstream: u.Upstream, Holder: h.config.VM, Token: u.token})
 }
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -52,7 +52,6 @@
 	LogTailCut:          {"log-tail-cut", true, true},
 	ConfigurationChange: {"configuration-change", true, false},
 	DiskRefused:         {"disk-refused", true, true},
-	OrderLate:           {"order-late", true, true},
 }
 
 // Name returns the name of an event in kebab case.
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -51,7 +51,6 @@
 	LogTailCut          Number = 704
 	ConfigurationChange Number = 705
 	DiskRefused         Number = 706
-	OrderLate           Number = 309
 )
 
 // Event is one thing that a daemon did or saw.
