Reading as a newcomer: comments on constants, Response in place of Verdict

Cause: a verdict is the monitoring group's word in this project; several constants had no line on where their figure comes from.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -89,7 +89,7 @@
 	forgetAt   time.Time
 	sessions   map[uint64]*session
 	closedTo   uint64
-	waiters    map[uint64]chan forwarder.Verdict
+	waiters    map[uint64]chan forwarder.Response
 	waiter     uint64
 	holderOut  holder.Effects
 	forwardOut forwarder.Effects
@@ -104,8 +104,10 @@
 }
 
 const (
+	// inputRing and linkRing hold about a second of messages at the largest load.
 	inputRing = 16_384
 	linkRing  = 16_384
+	// tickEvery is short against the 60 ms of the shortest tasks.
 	tickEvery = 20 * time.Millisecond
 	// stallGap is the standstill after which a holder does not trust what it has
 	// promised; shorter ones occur on a busy VM.
@@ -118,15 +120,18 @@
 	linkSilence   = 350 * time.Millisecond
 	// maxBehind is the number of waiting inputs above which a VM takes no new jobs:
 	// at about 200 us each it is then 50 ms behind, well before leases lapse.
-	maxBehind   = 250
+	maxBehind = 250
+	// forgetEvery is how often VMs and sessions that are long gone are looked for.
 	forgetEvery = time.Second
 	// entriesEvery is how many heartbeats apart entries are told of each other.
 	entriesEvery = 10
 	// logLines and logFaults bound the lines of decisions in a second: at about
 	// 5 us each they cost at most 1% of a core.
-	logLines     = 1500
-	logFaults    = 500
-	eventRing    = 512
+	logLines  = 1500
+	logFaults = 500
+	// eventRing is the number of events kept in memory.
+	eventRing = 512
+	// failureDecay is the time in seconds over which suture forgets failures.
 	failureDecay = 30
 )
 
@@ -140,7 +145,7 @@
 		config: c, handlers: h, log: log, now: now, incarnation: uuid.NewString(),
 		ring: recorder.New(c.Name, eventRing), peers: tracker.New(self),
 		inputs: make(chan func(time.Time), inputRing), done: make(chan struct{}),
-		sessions: map[uint64]*session{}, waiters: map[uint64]chan forwarder.Verdict{}, metrics: newMetrics(),
+		sessions: map[uint64]*session{}, waiters: map[uint64]chan forwarder.Response{}, metrics: newMetrics(),
 		budget: recorder.NewBudget(logLines, logFaults),
 	}
 	d.startedAt = now()
--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -42,11 +42,11 @@
 	for i := range f.Sends {
 		d.forward(now, &f.Sends[i])
 	}
-	for i := range f.Verdicts {
-		d.reply(f.Verdicts[i])
+	for i := range f.Responses {
+		d.reply(f.Responses[i])
 	}
 	d.logDecisions(f.Decisions)
-	f.Sends, f.Verdicts, f.Decisions = f.Sends[:0], f.Verdicts[:0], f.Decisions[:0]
+	f.Sends, f.Responses, f.Decisions = f.Sends[:0], f.Responses[:0], f.Decisions[:0]
 }
 
 func (d *Conductor) forward(now time.Time, s *forwarder.Send) {
@@ -88,7 +88,7 @@
 	}()
 }
 
-func (d *Conductor) reply(v forwarder.Verdict) {
+func (d *Conductor) reply(v forwarder.Response) {
 	if c := d.waiters[v.Waiter]; c != nil {
 		delete(d.waiters, v.Waiter)
 		c <- v
--- a/internal/conductor/requests.go
+++ b/internal/conductor/requests.go
@@ -16,8 +16,8 @@
 
 // Submit hands in a job and waits for its answer. When the context ends before,
 // the job is given up.
-func (d *Conductor) Submit(ctx context.Context, o holder.Order) (forwarder.Verdict, error) {
-	answer := make(chan forwarder.Verdict, 1)
+func (d *Conductor) Submit(ctx context.Context, o holder.Order) (forwarder.Response, error) {
+	answer := make(chan forwarder.Response, 1)
 	var waiter uint64
 	if !d.put(func(now time.Time) {
 		d.waiter++
@@ -25,7 +25,7 @@
 		d.waiters[waiter] = answer
 		d.forwarder.Submit(now, o, waiter, &d.forwardOut)
 	}) {
-		return forwarder.Verdict{}, ErrStopped
+		return forwarder.Response{}, ErrStopped
 	}
 	select {
 	case v := <-answer:
@@ -35,9 +35,9 @@
 			delete(d.waiters, waiter)
 			d.forwarder.Leave(now, o.ID, waiter, &d.forwardOut)
 		})
-		return forwarder.Verdict{}, ctx.Err()
+		return forwarder.Response{}, ctx.Err()
 	case <-d.done:
-		return forwarder.Verdict{}, ErrStopped
+		return forwarder.Response{}, ErrStopped
 	}
 }
 
--- a/internal/forwarder/fault_test.go
+++ b/internal/forwarder/fault_test.go
@@ -36,8 +36,8 @@
 func (w *world) resend(resendAt map[string]time.Time, last map[string]int) {
 	for id, entry := range last {
 		e := w.entries[entry]
-		verdicts := w.answered[id]
-		isUnclear := len(verdicts) > 0 && verdicts[len(verdicts)-1].Result == Unknown
+		responses := w.answered[id]
+		isUnclear := len(responses) > 0 && responses[len(responses)-1].Result == Unknown
 		isBroken := !w.now.Before(e.startedAt) && w.now.Before(e.downUntil)
 		at, isDue := resendAt[id]
 		switch {
@@ -45,7 +45,7 @@
 			delete(resendAt, id)
 			w.answered[id] = nil
 			w.submitAt(id, (entry+1)%len(w.entries), last)
-		case !isDue && len(verdicts) == 0 && isBroken, !isDue && isUnclear:
+		case !isDue && len(responses) == 0 && isBroken, !isDue && isUnclear:
 			resendAt[id] = w.now.Add(resendAfter)
 		}
 	}
@@ -70,8 +70,8 @@
 	assert.Empty(t, w.twice, "two runs of a task at the same time")
 	assert.Empty(t, w.untrue, "said not to have run, though it had")
 	completed := 0
-	for id, verdicts := range w.answered {
-		for _, v := range verdicts {
+	for id, responses := range w.answered {
+		for _, v := range responses {
 			assert.NotEqual(t, Cancelled, v.Result, "nobody has cancelled %s", id)
 			if v.Result == Completed {
 				completed++
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -27,8 +27,8 @@
 	TimedOut
 )
 
-// Verdict is the answer to one waiting caller.
-type Verdict struct {
+// Response is the answer to one waiting caller.
+type Response struct {
 	Waiter     uint64
 	Result     Result
 	RetryAfter time.Duration
@@ -53,7 +53,7 @@
 // Effects is what has to be done after an input.
 type Effects struct {
 	Sends     []Send
-	Verdicts  []Verdict
+	Responses []Response
 	Decisions []holder.Decision
 }
 
@@ -225,7 +225,7 @@
 	if p.job.started || p.job.hasSentOthers(p) {
 		result = Unknown
 	}
-	f.end(now, p.job, Verdict{Result: result, RetryAfter: wait, Reason: "no holder can serve the job in time"})
+	f.end(now, p.job, Response{Result: result, RetryAfter: wait, Reason: "no holder can serve the job in time"})
 }
 
 // hasSentOthers reports whether other parts may have started.
@@ -255,13 +255,13 @@
 		p.done = true
 		j.left--
 		if j.left == 0 {
-			f.end(now, j, Verdict{Result: Completed})
+			f.end(now, j, Response{Result: Completed})
 		}
 	case holder.Failed:
-		f.end(now, j, Verdict{Result: Failed, Reason: a.Reason})
+		f.end(now, j, Response{Result: Failed, Reason: a.Reason})
 	case holder.Cancelled:
 		if isCurrent {
-			f.end(now, j, Verdict{Result: Cancelled})
+			f.end(now, j, Response{Result: Cancelled})
 		}
 	case holder.Busy:
 		if !isCurrent {
@@ -302,11 +302,11 @@
 	if !j.started {
 		result = NotRun
 	}
-	f.end(now, j, Verdict{Result: result, RetryAfter: f.timing.Chain(), Reason: reason})
+	f.end(now, j, Response{Result: result, RetryAfter: f.timing.Chain(), Reason: reason})
 }
 
 // end tells all callers of a job, gives up what is left of it, and forgets it.
-func (f *Forwarder) end(now time.Time, j *job, v Verdict) {
+func (f *Forwarder) end(now time.Time, j *job, v Response) {
 	delete(f.jobs, j.order.ID)
 	last := ""
 	for _, p := range j.parts {
@@ -321,7 +321,7 @@
 	})
 	for _, w := range j.waiters {
 		v.Waiter = w
-		f.out.Verdicts = append(f.out.Verdicts, v)
+		f.out.Responses = append(f.out.Responses, v)
 	}
 }
 
@@ -427,7 +427,7 @@
 // tend gives up a job whose deadline has passed, and parts whose holder is lost.
 func (f *Forwarder) tend(now time.Time, j *job) {
 	if now.After(j.arrivedAt.Add(j.order.Remaining)) {
-		f.end(now, j, Verdict{Result: TimedOut, Reason: "the caller's deadline has passed"})
+		f.end(now, j, Response{Result: TimedOut, Reason: "the caller's deadline has passed"})
 		return
 	}
 	for _, p := range j.parts {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -34,8 +34,8 @@
 	f.Submit(now, order, 2, &out)
 	require.Len(t, out.Sends, 1)
 	f.Answer(now, "state", holder.Answer{ID: "j", Attempt: former, Outcome: holder.Completed}, &out)
-	assert.Empty(t, out.Verdicts, "answered by a former try")
+	assert.Empty(t, out.Responses, "answered by a former try")
 	f.Answer(now, "state", holder.Answer{ID: "j", Attempt: out.Sends[0].Order.Attempt, Outcome: holder.Completed}, &out)
-	require.Len(t, out.Verdicts, 1)
-	assert.Equal(t, Completed, out.Verdicts[0].Result)
+	require.Len(t, out.Responses, 1)
+	assert.Equal(t, Completed, out.Responses[0].Result)
 }
--- a/internal/forwarder/load_test.go
+++ b/internal/forwarder/load_test.go
@@ -11,8 +11,8 @@
 // count returns how many jobs ended with a result.
 func (w *world) count(r Result) int {
 	n := 0
-	for _, verdicts := range w.answered {
-		if len(verdicts) > 0 && verdicts[len(verdicts)-1].Result == r {
+	for _, responses := range w.answered {
+		if len(responses) > 0 && responses[len(responses)-1].Result == r {
 			n++
 		}
 	}
--- a/internal/forwarder/world_test.go
+++ b/internal/forwarder/world_test.go
@@ -26,7 +26,7 @@
 	upstreams []*fakeUpstream
 	due       []delivery
 	sequence  int
-	answered  map[string][]Verdict
+	answered  map[string][]Response
 	// took is how long the callers of jobs waited.
 	took      map[string]time.Duration
 	arrivedAt map[string]time.Time
@@ -124,7 +124,7 @@
 	start, err := time.Parse(time.RFC3339, worldStart)
 	require.NoError(t, err)
 	w := &world{
-		t: t, random: rand.New(rand.NewPCG(seed, 5)), now: start, answered: map[string][]Verdict{}, ran: map[string]bool{}, refused: map[string]bool{},
+		t: t, random: rand.New(rand.NewPCG(seed, 5)), now: start, answered: map[string][]Response{}, ran: map[string]bool{}, refused: map[string]bool{},
 		took: map[string]time.Duration{}, arrivedAt: map[string]time.Time{}, arrivalEvery: 50, maxAttempts: 3,
 	}
 	for i := range entries {
@@ -371,7 +371,7 @@
 			w.carryOutHolder(h, &effects)
 		})
 	}
-	for _, v := range out.Verdicts {
+	for _, v := range out.Responses {
 		id := e.waiting[v.Waiter]
 		delete(e.waiting, v.Waiter)
 		w.answered[id] = append(w.answered[id], v)
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -17,6 +17,8 @@
 )
 
 const (
+	// dialTimeout is many round trips of a few milliseconds; a VM that was dark is
+	// dialled anew soon after it is back.
 	dialTimeout      = 150 * time.Millisecond
 	redialDelay      = 50 * time.Millisecond
 	redialMax        = 250 * time.Millisecond
