Reading once more: one copy of a factor, no dead field, peers listed once a round

The factor after which an answer is of no use stood in holder and forwarder; Handover carried a number that nobody reads; the peers within reach were listed and sorted anew for each notice; two branches of a switch were equal.

--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -23,18 +23,10 @@
 		}
 		d.send(now, r.Entry, &wire.Relay{Body: &wire.Relay_Answer{Answer: encodeAnswer(&r.Answer)}})
 	}
-	for i := range h.Notices {
-		report := encodeNotice(&h.Notices[i])
-		dataCentre := h.Notices[i].Upstream.DataCentre
-		for _, p := range d.peers.Heard(now) {
-			if p.IsState || p.DataCentre == dataCentre {
-				d.send(now, p.VM, &wire.Relay{Body: &wire.Relay_Report{Report: report}})
-			}
-		}
-	}
+	d.spreadNotices(now, h.Notices)
 	for i := range h.Handovers {
 		o := &h.Handovers[i]
-		release := &wire.UpstreamRelease{Id: o.Upstream, Token: o.Token, LastEnd: o.LastEnd}
+		release := &wire.UpstreamRelease{Id: o.Upstream, Token: o.Token}
 		d.send(now, o.To, &wire.Relay{Body: &wire.Relay_ReleaseUpstream{ReleaseUpstream: release}})
 	}
 	d.logDecisions(h.Decisions)
@@ -49,6 +41,23 @@
 	f.Sends, f.Responses, f.Decisions = f.Sends[:0], f.Responses[:0], f.Decisions[:0]
 }
 
+// spreadNotices tells the state VMs, and the entries of an upstream's data centre,
+// what is known of it.
+func (d *Conductor) spreadNotices(now time.Time, notices []holder.Notice) {
+	if len(notices) == 0 {
+		return
+	}
+	heard := d.peers.Heard(now)
+	for i := range notices {
+		report := encodeNotice(&notices[i])
+		for _, p := range heard {
+			if p.IsState || p.DataCentre == notices[i].Upstream.DataCentre {
+				d.send(now, p.VM, &wire.Relay{Body: &wire.Relay_Report{Report: report}})
+			}
+		}
+	}
+}
+
 func (d *Conductor) forward(now time.Time, s *forwarder.Send) {
 	if s.To == d.config.Inner.String() {
 		d.forwardLocally(s)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -120,8 +120,6 @@
 	// noHolderWait is told to callers while no holder is within reach: about the
 	// time in which one takes the upstreams of another.
 	noHolderWait = time.Second
-	// lateFactor times the objective is when an answer is of no use any more.
-	lateFactor = 3
 )
 
 // New returns a Forwarder without jobs.
@@ -284,7 +282,7 @@
 	j := p.job
 	p.resends++
 	end := now.Add(j.order.Chain())
-	isUseless := end.After(j.arrivedAt.Add(lateFactor*j.order.Objective)) || end.After(j.arrivedAt.Add(j.order.Remaining))
+	isUseless := end.After(j.arrivedAt.Add(holder.LateFactor*j.order.Objective)) || end.After(j.arrivedAt.Add(j.order.Remaining))
 	if p.resends > maxResends || isUseless {
 		f.giveUp(now, j, "its holder was lost")
 		return
@@ -467,7 +465,7 @@
 	f.decide(holder.Decision{Event: "holder-lost", Job: j.order.ID, Request: j.order.Request, Peer: p.to, IsFault: true})
 	f.withdraw(p)
 	end := p.lostAt.Add(f.timing.Chain() + j.order.Chain())
-	if end.After(j.arrivedAt.Add(min(lateFactor*j.order.Objective, j.order.Remaining))) {
+	if end.After(j.arrivedAt.Add(min(holder.LateFactor*j.order.Objective, j.order.Remaining))) {
 		f.giveUp(now, j, "its holder is not within reach")
 	}
 }
--- a/internal/holder/assign.go
+++ b/internal/holder/assign.go
@@ -294,7 +294,7 @@
 	h.decide(Decision{Event: "upstream-released", Upstream: u.ID, Peer: to})
 	if to != "" && to != h.config.VM {
 		u.holder, u.noticedAt = to, now
-		h.out.Handovers = append(h.out.Handovers, Handover{To: to, Upstream: u.ID, Token: u.token, LastEnd: u.lastEnd})
+		h.out.Handovers = append(h.out.Handovers, Handover{To: to, Upstream: u.ID, Token: u.token})
 	}
 }
 
--- a/internal/holder/effects.go
+++ b/internal/holder/effects.go
@@ -110,7 +110,6 @@
 	To       string
 	Upstream string
 	Token    uint64
-	LastEnd  uint64
 }
 
 // Decision is one line for the log.
--- a/internal/holder/job.go
+++ b/internal/holder/job.go
@@ -116,5 +116,5 @@
 
 // giveUpAt is when an answer is of no use any more.
 func (j *job) giveUpAt() time.Time {
-	return j.arrivedAt.Add(min(lateFactor*j.Objective, j.Remaining))
+	return j.arrivedAt.Add(min(LateFactor*j.Objective, j.Remaining))
 }
--- a/internal/holder/results.go
+++ b/internal/holder/results.go
@@ -89,9 +89,7 @@
 		if u.failures >= pauseAfter || result.Status == CallNotSent {
 			h.pause(now, u)
 		}
-	case CallNoRoom:
-		u.pausedUntil = now.Add(h.config.Timing.StopTime)
-	case CallLate:
+	case CallNoRoom, CallLate:
 		u.pausedUntil = now.Add(h.config.Timing.StopTime)
 	}
 	h.decide(Decision{Event: "start-refused", Job: t.job.ID, Task: t.name, Run: r.number, Upstream: u.ID, Reason: statusName(result.Status)})
--- a/internal/holder/timing.go
+++ b/internal/holder/timing.go
@@ -74,9 +74,9 @@
 	remoteTakeDelay = 600 * time.Millisecond
 	// endAckDelay lets the acknowledgement of an end ride on the next call.
 	endAckDelay = 40 * time.Millisecond
-	// lateFactor times the objective is the time after which an answer is of no
+	// LateFactor times the objective is the time after which an answer is of no
 	// use to its caller.
-	lateFactor = 3
+	LateFactor = 3
 	// stragglerFactor times its expected run time, and stragglerSlack, is when a
 	// run counts as stuck: estimates are off by up to 40%.
 	stragglerFactor = 3
