Entries that reach no state VM send their orders over other entries

Ruled out: capacity (upstreams were free, processor at 1%).

Change: messages between such an entry and a state VM pass over an entry that hears both; the holder hears the entry's own heartbeats, so that the chain of leases stays. Orders and withdrawals are repeated on such a way, which does not tell of a loss; a withdrawal that overtakes its order is remembered.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -115,6 +115,8 @@
 	// lateOrder is the delay on the way after which an order is not taken: its
 	// entry may have given it to another holder.
 	lateOrder = 300 * time.Millisecond
+	// lateHop is that delay for one of the two parts of a way over a third VM.
+	lateHop = lateOrder / 2
 	// linkHeartbeat and linkSilence replace a link that swallows what is sent.
 	linkHeartbeat = 250 * time.Millisecond
 	linkSilence   = 350 * time.Millisecond
@@ -333,9 +335,24 @@
 	}
 	r.SentAt = now.UnixNano()
 	r.Incarnation = d.incarnation
+	if via := d.peers.Route(now, to); via != "" {
+		r.Origin, r.Target = d.config.Inner.String(), to
+		to = via
+	}
 	d.messenger.SendRelay(to, r)
 }
 
+// passOn hands a message on to a VM that its sender does not reach. The time at
+// which it is sent becomes that of this VM, so that its receiver can tell how long
+// the second part of the way took.
+func (d *Conductor) passOn(now time.Time, from string, delay time.Duration, r *wire.Relay) {
+	if delay > lateHop || r.GetOrigin() != from || !d.peers.IsDirect(now, r.GetTarget()) {
+		return
+	}
+	r.SentAt = now.UnixNano()
+	d.messenger.SendRelay(r.GetTarget(), r)
+}
+
 // put hands an input to the decisions and waits while their ring is full.
 func (d *Conductor) put(input func(now time.Time)) bool {
 	select {
--- a/internal/conductor/decoder.go
+++ b/internal/conductor/decoder.go
@@ -24,6 +24,7 @@
 		h.Neighbours = append(h.Neighbours, tracker.Neighbour{
 			VM: n.GetVm(), Incarnation: n.GetIncarnation(), DataCentre: n.GetDataCentre(),
 			HeardAgo: time.Duration(n.GetHeardAgo()), IsLeaving: n.GetLeaving(), IsState: n.GetIsState(),
+			IsRelayed: n.GetRelayed(),
 		})
 	}
 	if l := w.GetLoad(); l != nil {
@@ -77,7 +78,7 @@
 }
 
 func decodeCancel(w *wire.JobCancel) forwarder.Cancel {
-	return forwarder.Cancel{ID: w.GetId(), Part: int(w.GetPart()), Everywhere: w.GetEverywhere()}
+	return forwarder.Cancel{ID: w.GetId(), Part: int(w.GetPart()), Attempt: int(w.GetAttempt()), Everywhere: w.GetEverywhere()}
 }
 
 func decodeNotice(w *wire.UpstreamReport) (holder.Notice, error) {
--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -86,7 +86,7 @@
 		d.holder.CancelJob(now, entry, c.ID, &d.holderOut)
 		return
 	}
-	d.holder.Withdraw(now, entry, c.ID, c.Part, &d.holderOut)
+	d.holder.Withdraw(now, entry, c.ID, c.Part, c.Attempt, &d.holderOut)
 }
 
 // call carries out an order to an upstream; leases and room bound their number.
--- a/internal/conductor/encoder.go
+++ b/internal/conductor/encoder.go
@@ -16,6 +16,7 @@
 	for _, n := range h.Neighbours {
 		w.Neighbours = append(w.Neighbours, &wire.Neighbour{
 			Vm: n.VM, Incarnation: n.Incarnation, DataCentre: n.DataCentre, HeardAgo: int64(n.HeardAgo), Leaving: n.IsLeaving, IsState: n.IsState,
+			Relayed: n.IsRelayed,
 		})
 	}
 	if h.Load.TotalMilliCores == 0 && len(h.Load.Pending) == 0 {
@@ -63,7 +64,7 @@
 }
 
 func encodeCancel(c *forwarder.Cancel) *wire.JobCancel {
-	return &wire.JobCancel{Id: c.ID, Part: uint32(c.Part), Everywhere: c.Everywhere}
+	return &wire.JobCancel{Id: c.ID, Part: uint32(c.Part), Attempt: uint32(c.Attempt), Everywhere: c.Everywhere}
 }
 
 func encodeNotice(n *holder.Notice) *wire.UpstreamReport {
--- a/internal/conductor/heartbeat.go
+++ b/internal/conductor/heartbeat.go
@@ -53,7 +53,7 @@
 		Configuration: d.version.Load(), Neighbours: d.peers.Neighbours(now, ""), Load: d.holder.Load(now),
 	}
 	if !d.config.IsState {
-		d.peers.Hear(now, h)
+		d.peers.Hear(now, h, "")
 	}
 	pulse := encodeHeartbeat(&h)
 	d.beats++
--- a/internal/conductor/receive.go
+++ b/internal/conductor/receive.go
@@ -18,7 +18,14 @@
 			return
 		}
 		delay := d.delay(now, number, r)
-		d.handle(now, from, delay, r)
+		switch origin, target := r.GetOrigin(), r.GetTarget(); {
+		case target == "":
+			d.handle(now, from, "", delay, r)
+		case target == d.config.Inner.String():
+			d.handle(now, origin, from, delay+lateHop, r)
+		default:
+			d.passOn(now, from, delay, r)
+		}
 	})
 }
 
@@ -35,10 +42,12 @@
 	return offset - s.offset
 }
 
-func (d *Conductor) handle(now time.Time, from string, delay time.Duration, r *wire.Relay) {
+// handle takes a message of the VM from, which came over the VM via if that is not
+// empty.
+func (d *Conductor) handle(now time.Time, from, via string, delay time.Duration, r *wire.Relay) {
 	switch b := r.GetBody().(type) {
 	case *wire.Relay_Pulse:
-		d.hear(now, from, r.GetIncarnation(), delay, b.Pulse)
+		d.hear(now, from, via, r.GetIncarnation(), delay, b.Pulse)
 	case *wire.Relay_Order:
 		d.takeOrder(now, from, r.GetIncarnation(), delay, b.Order)
 	case *wire.Relay_Cancel:
@@ -63,12 +72,12 @@
 }
 
 // hear takes a heartbeat. One that was long under way says nothing of now.
-func (d *Conductor) hear(now time.Time, from, incarnation string, delay time.Duration, w *wire.Pulse) {
+func (d *Conductor) hear(now time.Time, from, via, incarnation string, delay time.Duration, w *wire.Pulse) {
 	if delay > lateOrder {
 		return
 	}
 	h := decodeHeartbeat(from, incarnation, w)
-	news := d.peers.Hear(now, h)
+	news := d.peers.Hear(now, h, via)
 	for _, vm := range news.Found {
 		d.link(vm)
 	}
--- a/internal/conductor/standin.go
+++ b/internal/conductor/standin.go
@@ -17,8 +17,6 @@
 	// a state VM: after a loss of power these may start later, and without them the
 	// entry knows of no upstreams that another entry does not hold.
 	firstHearing = 2 * time.Second
-	// remoteWitnesses is how many entries of each other data centre are asked.
-	remoteWitnesses = 2
 )
 
 // absence is what an entry knows of the state VMs' absence.
@@ -90,7 +88,7 @@
 	}
 	for _, entries := range others {
 		first := int(hash(d.config.Inner.String()) % uint64(len(entries)))
-		for i := range min(remoteWitnesses, len(entries)) {
+		for i := range min(tracker.Witnesses, len(entries)) {
 			list = append(list, entries[(first+i)%len(entries)].VM)
 		}
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -46,6 +46,8 @@
 type Cancel struct {
 	ID   string
 	Part int
+	// Attempt is the last one that it is about.
+	Attempt int
 	// Everywhere says that the caller asked for it, so that all parts end.
 	Everywhere bool
 }
@@ -65,6 +67,8 @@
 	jobs       map[string]*job
 	attempt    int
 	cancels    []repeatedCancel
+	// withdrawn are the latest withdrawals, which may be lost on their way.
+	withdrawn []withdrawal
 	// sent is what was sent to each holder since its last heartbeat.
 	sent map[string]sentLoad
 	out  *Effects
@@ -95,10 +99,19 @@
 	leastVM    string
 	// lostAt is when the holder was last heard before it was lost.
 	lostAt  time.Time
+	sentAt  time.Time
 	resends int
 	done    bool
 }
 
+// withdrawal is a part that a holder was told to give up.
+type withdrawal struct {
+	to     string
+	cancel Cancel
+	// nextAt is when it is repeated on a way over a third VM, until when at all.
+	nextAt, until time.Time
+}
+
 type sentLoad struct {
 	milliCores int64
 	at         time.Time
@@ -114,6 +127,9 @@
 	// cancelRepeats and cancelEvery cover a link that is opened anew.
 	cancelRepeats = 3
 	cancelEvery   = 400 * time.Millisecond
+	// repeatEvery is how often a message is sent again over a third VM, which does
+	// not tell when it loses one.
+	repeatEvery = 400 * time.Millisecond
 	// maxResends bounds how often a job is given to another holder after the
 	// former one was lost.
 	maxResends = 2
@@ -208,6 +224,7 @@
 	waited := now.Sub(p.job.arrivedAt)
 	o.Remaining = p.job.order.Remaining - waited
 	o.Objective = max(p.job.order.Objective-waited, time.Millisecond)
+	p.sentAt = now
 	f.countSent(p.to, o.MilliCores())
 	f.decide(holder.Decision{Event: "job-forwarded", Job: o.ID, Request: o.Request, Peer: p.to, Run: o.Attempt, Wait: waited})
 	f.out.Sends = append(f.out.Sends, Send{To: p.to, Order: &o})
@@ -248,7 +265,7 @@
 	switch a.Outcome {
 	case holder.Completed:
 		if !isCurrent {
-			f.withdraw(p)
+			f.withdraw(now, p)
 		}
 		p.done = true
 		j.left--
@@ -310,7 +327,7 @@
 	for _, p := range j.parts {
 		last = p.to
 		if !p.done && v.Result != Cancelled {
-			f.withdraw(p)
+			f.withdraw(now, p)
 		}
 	}
 	f.decide(holder.Decision{
@@ -361,16 +378,43 @@
 	f.decide(holder.Decision{Event: "caller-gone", Job: id, Request: j.order.Request, Wait: now.Sub(j.arrivedAt)})
 	for _, p := range j.parts {
 		if !p.done {
-			f.withdraw(p)
+			f.withdraw(now, p)
 		}
 	}
 }
 
 // withdraw gives up a part at its holder.
-func (f *Forwarder) withdraw(p *part) {
+func (f *Forwarder) withdraw(now time.Time, p *part) {
 	if p.to != "" && len(p.tried) > 0 {
-		f.out.Sends = append(f.out.Sends, Send{To: p.to, Cancel: &Cancel{ID: p.order.ID, Part: p.order.Part}})
+		w := withdrawal{
+			to: p.to, cancel: Cancel{ID: p.order.ID, Part: p.order.Part, Attempt: p.order.Attempt},
+			nextAt: now.Add(repeatEvery), until: now.Add(f.timing.Chain()),
+		}
+		f.withdrawn = append(f.withdrawn, w)
+		f.sendWithdrawal(&w)
+	}
+}
+
+func (f *Forwarder) sendWithdrawal(w *withdrawal) {
+	c := w.cancel
+	f.out.Sends = append(f.out.Sends, Send{To: w.to, Cancel: &c})
+}
+
+// repeatWithdrawals sends again what may have been lost on the way over a third VM.
+func (f *Forwarder) repeatWithdrawals(now time.Time) {
+	left := f.withdrawn[:0]
+	for i := range f.withdrawn {
+		w := f.withdrawn[i]
+		if now.After(w.until) {
+			continue
+		}
+		if !now.Before(w.nextAt) && f.peers.Route(now, w.to) != "" {
+			f.sendWithdrawal(&w)
+			w.nextAt = now.Add(repeatEvery)
+		}
+		left = append(left, w)
 	}
+	f.withdrawn = left
 }
 
 // CancelJob gives up a job wherever it is, as its caller has asked.
@@ -386,7 +430,7 @@
 	}
 }
 
-// PeerUp sends the jobs of a holder again, whose messages may have been lost
+// PeerUp sends the jobs and withdrawals of a holder again, which may have been lost
 // with the former link. A holder that knows them goes on.
 func (f *Forwarder) PeerUp(now time.Time, vm string, out *Effects) {
 	f.out = out
@@ -401,6 +445,11 @@
 			}
 		}
 	}
+	for i := range f.withdrawn {
+		if w := &f.withdrawn[i]; w.to == vm && !now.After(w.until) {
+			f.sendWithdrawal(w)
+		}
+	}
 }
 
 // Tick lets time pass.
@@ -420,6 +469,7 @@
 		}
 	}
 	f.cancels = left
+	f.repeatWithdrawals(now)
 }
 
 // tend gives up a job whose deadline has passed, and parts whose holder is lost.
@@ -443,6 +493,9 @@
 	peer := f.peers.Peer(p.to)
 	if p.lostAt.IsZero() {
 		if peer != nil && f.peers.IsHeard(now, p.to) && peer.Incarnation == p.toLife {
+			if now.Sub(p.sentAt) >= repeatEvery && f.peers.Route(now, p.to) != "" {
+				f.send(now, p)
+			}
 			return
 		}
 		f.lose(now, p, peer)
@@ -463,7 +516,7 @@
 	}
 	j.started = true
 	f.decide(holder.Decision{Event: "holder-lost", Job: j.order.ID, Request: j.order.Request, Peer: p.to, IsFault: true})
-	f.withdraw(p)
+	f.withdraw(now, p)
 	end := p.lostAt.Add(f.timing.Chain() + j.order.Chain())
 	if end.After(j.arrivedAt.Add(min(holder.LateFactor*j.order.Objective, j.order.Remaining))) {
 		f.giveUp(now, j, "its holder is not within reach")
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -19,7 +19,7 @@
 	peers.Hear(now, tracker.Heartbeat{
 		VM: "state", Incarnation: "1", IsState: true, IsReady: true,
 		Load: holder.Load{TotalMilliCores: 32_000, FreeMilliCores: 32_000, Places: make([]int, len(holder.PlaceSizes))},
-	})
+	}, "")
 	f := New("a", holder.DefaultTiming(), peers)
 	order := holder.Order{
 		ID: "j", Service: "s", Objective: time.Second, Remaining: 5 * time.Second,
--- a/internal/forwarder/world_test.go
+++ b/internal/forwarder/world_test.go
@@ -30,6 +30,9 @@
 	// took is how long the callers of jobs waited.
 	took      map[string]time.Duration
 	arrivedAt map[string]time.Time
+	// arrivedWith is the entry that got a job last.
+	arrivedWith map[string]*entryVM
+	start       time.Time
 	// ran names the jobs of which a task has started since they were last handed
 	// in, refused those that were last said not to have run.
 	ran     map[string]bool
@@ -38,6 +41,8 @@
 	untrue  []string
 	// lateOrders is the share of starts that are carried out seconds later.
 	lateOrders float64
+	// lostShare of the messages over third VMs are lost.
+	lostShare float64
 	// arrivalEvery is the mean pause between jobs, in milliseconds.
 	arrivalEvery int
 	maxAttempts  int
@@ -54,8 +59,10 @@
 	downUntil   time.Time
 	frozenUntil time.Time
 	cutUntil    time.Time
-	startedAt   time.Time
-	lastTick    time.Time
+	// cutFromHoldersUntil leaves the ways between entries open.
+	cutFromHoldersUntil time.Time
+	startedAt           time.Time
+	lastTick            time.Time
 }
 
 type entryVM struct {
@@ -125,7 +132,7 @@
 	require.NoError(t, err)
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 5)), now: start, answered: map[string][]Response{}, ran: map[string]bool{}, refused: map[string]bool{},
-		took: map[string]time.Duration{}, arrivedAt: map[string]time.Time{}, arrivalEvery: 50, maxAttempts: 3,
+		took: map[string]time.Duration{}, arrivedAt: map[string]time.Time{}, arrivedWith: map[string]*entryVM{}, start: start, arrivalEvery: 50, maxAttempts: 3,
 	}
 	for i := range entries {
 		e := &entryVM{vm: vm{name: fmt.Sprintf("10.0.1.%d:1", i+1), dataCentre: dataCentre(i)}}
@@ -196,16 +203,36 @@
 	return nil
 }
 
-// send delivers a message unless one of the ends is cut off. A frozen VM reads it
-// when it wakes, a killed one never.
-func (w *world) send(from, to string, run func()) {
+// send delivers a message, over a third VM where the sender knows that it has to,
+// unless the way is cut. A frozen VM reads it when it wakes, a killed one never. The
+// function is told the third VM.
+func (w *world) send(from, to string, run func(via string)) {
 	a, b := w.find(from), w.find(to)
-	if w.now.Before(a.cutUntil) || w.now.Before(b.cutUntil) || w.now.Before(b.downUntil) {
+	via, hops := a.peers.Route(w.now, to), 1
+	if via != "" {
+		middle := w.find(via)
+		if w.isBlocked(a, middle) || w.isBlocked(middle, b) || !middle.peers.IsDirect(w.now, to) {
+			return
+		}
+		hops = 2
+	} else if w.isBlocked(a, b) {
+		return
+	}
+	if w.random.Float64() < w.lostShare && hops > 1 {
 		return
 	}
-	delay := worldHop + time.Duration(w.random.Int64N(int64(worldHop)))
+	delay := time.Duration(hops) * (worldHop + time.Duration(w.random.Int64N(int64(worldHop))))
 	w.sequence++
-	w.due = append(w.due, delivery{at: w.now.Add(delay), from: from, to: to, life: b.incarnation, run: run, n: w.sequence})
+	w.due = append(w.due, delivery{at: w.now.Add(delay), from: from, to: to, life: b.incarnation, run: func() { run(via) }, n: w.sequence})
+}
+
+// isBlocked reports whether nothing passes between two VMs.
+func (w *world) isBlocked(a, b *vm) bool {
+	if w.now.Before(a.cutUntil) || w.now.Before(b.cutUntil) || w.now.Before(b.downUntil) {
+		return true
+	}
+	return w.now.Before(a.cutFromHoldersUntil) && w.holderNamed(b.name) != nil ||
+		w.now.Before(b.cutFromHoldersUntil) && w.holderNamed(a.name) != nil
 }
 
 // after runs a function later, in the given life of a VM.
@@ -308,14 +335,14 @@
 	}
 	beat.Neighbours = from.peers.Neighbours(w.now, "")
 	for _, e := range w.entries {
-		w.send(from.name, e.name, func() { e.peers.Hear(w.now, beat) })
+		w.send(from.name, e.name, func(via string) { e.peers.Hear(w.now, beat, via) })
 	}
 	for _, h := range w.holders {
 		if h.name == from.name {
 			continue
 		}
-		w.send(from.name, h.name, func() {
-			if news := h.peers.Hear(w.now, beat); news.HasRestarted {
+		w.send(from.name, h.name, func(via string) {
+			if news := h.peers.Hear(w.now, beat, via); news.HasRestarted {
 				h.holder.HolderLost(beat.VM)
 			}
 			if !beat.IsState {
@@ -341,7 +368,7 @@
 }
 
 func (w *world) submitTasks(e *entryVM, waiter uint64, id string, tasks int, taskTime, remaining time.Duration) {
-	w.arrivedAt[id] = w.now
+	w.arrivedAt[id], w.arrivedWith[id] = w.now, e
 	e.waiting[waiter] = id
 	var out Effects
 	e.forwarder.Submit(w.now, holder.Order{
@@ -360,13 +387,13 @@
 		if h == nil {
 			continue
 		}
-		w.send(e.name, s.To, func() {
+		w.send(e.name, s.To, func(string) {
 			var effects holder.Effects
 			if s.Order != nil {
 				h.holder.Hear(w.now, e.name, e.incarnation, &effects)
 				h.holder.Submit(w.now, e.name, *s.Order, &effects)
 			} else {
-				h.holder.Withdraw(w.now, e.name, s.Cancel.ID, s.Cancel.Part, &effects)
+				h.holder.Withdraw(w.now, e.name, s.Cancel.ID, s.Cancel.Part, s.Cancel.Attempt, &effects)
 			}
 			w.carryOutHolder(h, &effects)
 		})
@@ -403,7 +430,7 @@
 			if e.name != r.Entry {
 				continue
 			}
-			w.send(h.name, e.name, func() {
+			w.send(h.name, e.name, func(string) {
 				var effects Effects
 				e.forwarder.Answer(w.now, h.name, r.Answer, &effects)
 				w.carryOut(e, &effects)
@@ -413,7 +440,7 @@
 	for _, n := range out.Notices {
 		for _, other := range w.holders {
 			if other != h {
-				w.send(h.name, other.name, func() {
+				w.send(h.name, other.name, func(string) {
 					var effects holder.Effects
 					other.holder.Notice(w.now, h.name, n, &effects)
 					effects.Notices = nil
@@ -424,7 +451,7 @@
 	}
 	for _, o := range out.Handovers {
 		other := w.holderNamed(o.To)
-		w.send(h.name, o.To, func() {
+		w.send(h.name, o.To, func(string) {
 			var effects holder.Effects
 			other.holder.Handover(w.now, h.name, o.Upstream, o.Token, &effects)
 			w.carryOutHolder(other, &effects)
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"maps"
 	"sort"
 	"time"
 )
@@ -38,6 +39,8 @@
 	queue     []*job
 	answers   map[Key]remembered
 	cancelled map[string]time.Time
+	// withdrawn are the parts that an entry has given up before they came.
+	withdrawn map[Key]withdrawal
 	entries   map[string]*entry
 	peers     []Peer
 	leaving   bool
@@ -55,6 +58,13 @@
 	heardAt     time.Time
 }
 
+// withdrawal is a part that an entry has given up, up to an attempt.
+type withdrawal struct {
+	entry   string
+	attempt int
+	at      time.Time
+}
+
 // remembered is an answer kept for an order that comes again.
 type remembered struct {
 	entry  string
@@ -76,7 +86,7 @@
 func New(c Config) *Holder {
 	return &Holder{
 		config: c, upstreams: map[string]*held{}, jobs: map[Key]*job{},
-		answers: map[Key]remembered{}, cancelled: map[string]time.Time{}, entries: map[string]*entry{},
+		answers: map[Key]remembered{}, cancelled: map[string]time.Time{}, withdrawn: map[Key]withdrawal{}, entries: map[string]*entry{},
 	}
 }
 
@@ -86,6 +96,7 @@
 	e := h.entries[vm]
 	if e != nil && e.incarnation != incarnation {
 		h.abandon(now, vm, "the entry has restarted")
+		maps.DeleteFunc(h.withdrawn, func(_ Key, w withdrawal) bool { return w.entry == vm })
 	}
 	h.entries[vm] = &entry{incarnation: incarnation, heardAt: now}
 }
@@ -154,6 +165,7 @@
 			delete(h.cancelled, id)
 		}
 	}
+	maps.DeleteFunc(h.withdrawn, func(_ Key, w withdrawal) bool { return now.Sub(w.at) > answerMemory })
 }
 
 func (h *Holder) decide(d Decision) { h.out.Decisions = append(h.out.Decisions, d) }
--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -17,6 +17,10 @@
 		h.out.Replies = append(h.out.Replies, Reply{entryVM, Answer{ID: o.ID, Part: o.Part, Attempt: o.Attempt, Outcome: Cancelled}})
 		return
 	}
+	if w, ok := h.withdrawn[o.Key()]; ok && w.entry == entryVM && o.Attempt <= w.attempt {
+		h.decide(Decision{Event: "job-withdrawn", Job: o.ID, Request: o.Request, Peer: entryVM, Reason: "before it came"})
+		return
+	}
 	if j := h.jobs[o.Key()]; j != nil {
 		h.rejoin(now, entryVM, j, &o)
 		return
@@ -139,11 +143,16 @@
 	}
 }
 
-// Withdraw gives up a part of a job that its entry does not want any more.
-func (h *Holder) Withdraw(now time.Time, entryVM, id string, part int, out *Effects) {
+// Withdraw gives up a part of a job that its entry does not want any more, up to an
+// attempt. The order may come later, if the two went different ways.
+func (h *Holder) Withdraw(now time.Time, entryVM, id string, part, attempt int, out *Effects) {
 	h.out = out
 	j := h.jobs[Key{id, part}]
-	if j == nil || j.entry != entryVM || j.stopping {
+	if j == nil {
+		h.withdrawn[Key{id, part}] = withdrawal{entryVM, attempt, now}
+		return
+	}
+	if j.entry != entryVM || j.stopping || attempt < j.Attempt {
 		return
 	}
 	h.decide(Decision{Event: "job-withdrawn", Job: id, Request: j.Request, Peer: entryVM})
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -37,6 +37,8 @@
 	HeardAgo    time.Duration
 	IsLeaving   bool
 	IsState     bool
+	// IsRelayed says that the sender hears it over a third VM.
+	IsRelayed bool
 }
 
 // Peer is what is known of another VM.
@@ -46,6 +48,11 @@
 	// another VM that heard it.
 	HeardAt time.Time
 	SeenAt  time.Time
+	// DirectAt is when it was last heard over a link of its own, ViaAt when over
+	// the VM Via.
+	DirectAt time.Time
+	Via      string
+	ViaAt    time.Time
 }
 
 // Tracker holds the peers. It is not safe for concurrent use.
@@ -77,8 +84,8 @@
 	HasRestarted bool
 }
 
-// Hear takes a heartbeat.
-func (t *Tracker) Hear(now time.Time, h Heartbeat) News {
+// Hear takes a heartbeat, which came over the VM via if that is not empty.
+func (t *Tracker) Hear(now time.Time, h Heartbeat, via string) News {
 	var news News
 	p := t.peers[h.VM]
 	if p == nil {
@@ -91,6 +98,11 @@
 	news.HasRestarted = p.Incarnation != "" && p.Incarnation != h.Incarnation
 	p.Heartbeat = h
 	p.HeardAt, p.SeenAt = now, now
+	if via == "" {
+		p.DirectAt = now
+	} else {
+		p.Via, p.ViaAt = via, now
+	}
 	for _, n := range h.Neighbours {
 		if n.VM != t.self && t.hearOf(now, n) {
 			news.Found = append(news.Found, n.VM)
@@ -173,17 +185,29 @@
 	return list
 }
 
-// Neighbours returns the VMs to be named in a heartbeat: the state VMs heard, and
-// the entries heard of one data centre, if it is named.
+// Witnesses is how many entries of each other data centre an entry is told of:
+// one that hears no state VM asks them.
+const Witnesses = 2
+
+// Neighbours returns the VMs to be named in a heartbeat: the state VMs heard, and, if
+// a data centre is named, the entries heard of it and a few of each other one.
 func (t *Tracker) Neighbours(now time.Time, dataCentre string) []Neighbour {
 	var list []Neighbour
+	others := map[string]int{}
 	for vm, p := range t.peers {
-		if !t.IsHeard(now, vm) || !p.IsState && (dataCentre == "" || p.DataCentre != dataCentre) {
+		if !t.IsHeard(now, vm) || !p.IsState && dataCentre == "" {
 			continue
 		}
+		if !p.IsState && p.DataCentre != dataCentre {
+			others[p.DataCentre]++
+			if others[p.DataCentre] > Witnesses {
+				continue
+			}
+		}
 		list = append(list, Neighbour{
 			VM: vm, Incarnation: p.Incarnation, DataCentre: p.DataCentre,
 			HeardAgo: now.Sub(p.HeardAt), IsLeaving: p.IsLeaving, IsState: p.IsState,
+			IsRelayed: !t.isDirect(now, p),
 		})
 	}
 	return list
