Cut-off entries hold a share, holders without entries none, jobs wait for a holder just lost

A state VM that nobody reaches took its upstreams back each second from those that serve; an entry that hears nobody took all upstreams of its data centre and lost them after a second; an entry that wakes refused all that had waited, as the heartbeats had not been read yet. Ruled out: capacity, processor.

Change: a holder that hears no entry takes nothing; an entry that hears nobody leaves the other entries of its data centre their shares, and state VMs leave it its own for 3 s; a job waits for up to 0.6 s, as long as it can be on time, for a holder that was just lost.

The tests of the holder now hear an entry, as a holder that takes upstreams does; TestFencedWaitsForHandover would pass idly without.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -170,10 +170,12 @@
 func holderConfig(c *Config) holder.Config {
 	h := holder.Config{
 		VM: c.Inner.String(), DataCentre: c.DataCentre, Timing: c.Timing, TokenEpoch: tokenEpoch, BlindTries: blindTries,
+		StrangerDelay: strangerDelay,
 	}
 	if !c.IsState {
 		h.BlindTries = math.MaxInt
 		h.OnlyOwnDataCentre = true
+		h.StrangerDelay = entryStrangerDelay
 		h.Timing.UpstreamSilence = standInMemory
 	}
 	return h
@@ -182,6 +184,13 @@
 const (
 	// blindTries covers a lost message, not a partition.
 	blindTries = 2
+	// strangerDelay leaves an entry that is cut off from all VMs its share of the
+	// upstreams for about as long as partitions last; where the taker is really
+	// gone, a data centre misses that share meanwhile.
+	strangerDelay = 3 * time.Second
+	// entryStrangerDelay is short, since an entry that hears nobody has callers
+	// that nobody else serves.
+	entryStrangerDelay = 200 * time.Millisecond
 	// standInMemory is how long an entry remembers upstreams that it hears
 	// nothing of, because no state VM is there.
 	standInMemory = time.Minute
--- a/internal/conductor/standin.go
+++ b/internal/conductor/standin.go
@@ -96,7 +96,9 @@
 }
 
 // withinReach returns the VMs within reach. To hold upstreams are the state VMs,
-// or the entries of this data centre while none of those is there.
+// or the entries of this data centre while none of those is there. An entry that hears
+// no VM at all cannot tell whether it or the others are cut off: it leaves the
+// other entries their shares.
 func (d *Conductor) withinReach(now time.Time) []holder.Peer {
 	self := holder.Peer{VM: d.config.Inner.String(), DataCentre: d.config.DataCentre, CanHold: true, IsReady: d.isSettled(now)}
 	list := d.peers.Holders(now)
@@ -104,13 +106,29 @@
 	if !d.leaving && (d.config.IsState || standsIn) {
 		list = append(list, self)
 	}
+	hearsOthers := false
 	for _, p := range d.peers.Heard(now) {
 		if p.IsState || p.VM == self.VM {
 			continue
 		}
+		hearsOthers = true
 		canHold := standsIn && !p.IsLeaving && p.DataCentre == d.config.DataCentre
 		list = append(list, holder.Peer{VM: p.VM, DataCentre: p.DataCentre, CanHold: canHold, IsReady: canHold})
 	}
+	if standsIn && !hearsOthers {
+		list = append(list, d.unheardEntries()...)
+	}
+	return list
+}
+
+// unheardEntries returns the other known entries of this data centre.
+func (d *Conductor) unheardEntries() []holder.Peer {
+	var list []holder.Peer
+	for _, p := range d.peers.Entries() {
+		if p.VM != d.config.Inner.String() && p.DataCentre == d.config.DataCentre {
+			list = append(list, holder.Peer{VM: p.VM, DataCentre: p.DataCentre, CanHold: true})
+		}
+	}
 	return list
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -69,6 +69,8 @@
 	cancels    []repeatedCancel
 	// withdrawn are the latest withdrawals, which may be lost on their way.
 	withdrawn []withdrawal
+	// holderlessSince is when the last holder was lost, zero while one is heard.
+	holderlessSince time.Time
 	// sent is what was sent to each holder since its last heartbeat.
 	sent map[string]sentLoad
 	out  *Effects
@@ -199,9 +201,27 @@
 	f.send(now, p)
 }
 
-// expectsHolder reports whether a state VM is within reach that may hold upstreams
-// in a moment.
+// observeHolders notes since when no holder is heard: the others may have gone, or
+// this VM stood still and their heartbeats are on their way.
+func (f *Forwarder) observeHolders(now time.Time) {
+	for _, p := range f.peers.Heard(now) {
+		if !p.IsLeaving && p.Load.TotalMilliCores > 0 {
+			f.holderlessSince = time.Time{}
+			return
+		}
+	}
+	if f.holderlessSince.IsZero() {
+		f.holderlessSince = now
+	}
+}
+
+// expectsHolder reports whether a holder may be there in a moment: the last was lost
+// just now, or a state VM is within reach.
 func (f *Forwarder) expectsHolder(now time.Time) bool {
+	f.observeHolders(now)
+	if !f.holderlessSince.IsZero() && now.Sub(f.holderlessSince) < holderWait {
+		return true
+	}
 	for _, p := range f.peers.Heard(now) {
 		if p.IsState && !p.IsLeaving {
 			return true
@@ -216,7 +236,8 @@
 	return p.job.arrivedAt.Add(min(p.job.order.Objective-p.job.order.Chain(), holderWait))
 }
 
-// holderWait is how long a state VM that has started needs to hold upstreams.
+// holderWait is how long a state VM that has started, or an entry that stands in,
+// needs to hold upstreams.
 const holderWait = 600 * time.Millisecond
 
 func (f *Forwarder) send(now time.Time, p *part) {
@@ -455,6 +476,7 @@
 // Tick lets time pass.
 func (f *Forwarder) Tick(now time.Time, out *Effects) {
 	f.out = out
+	f.observeHolders(now)
 	for _, j := range f.jobs {
 		f.tend(now, j)
 	}
--- a/internal/holder/assign.go
+++ b/internal/holder/assign.go
@@ -53,12 +53,15 @@
 	}
 	switch {
 	case n.Holder == from && n.Token >= u.token && u.phase == notHeld:
+		if u.holder == "" && u.retakeAt.After(now.Add(retakeDelay)) {
+			u.retakeAt = now.Add(retakeDelay)
+		}
 		u.holder, u.token = n.Holder, n.Token
 		u.noticedAt = now
 	case n.Holder == from && n.Token > u.token:
 		h.fenced(now, u)
 		u.holder, u.token = n.Holder, n.Token
-		u.noticedAt = now
+		u.noticedAt, u.retakeAt = now, now.Add(retakeDelay)
 	case n.Holder == "" && u.holder == from:
 		u.holder = ""
 	}
@@ -131,7 +134,8 @@
 
 // assign takes and gives up upstreams as the VMs within reach change.
 func (h *Holder) assign(now time.Time) {
-	settled := h.isReady(h.config.VM)
+	// Without an entry within reach no job can come here.
+	settled := h.isReady(h.config.VM) && len(h.entries) > 0
 	for id, u := range h.upstreams {
 		if u.State == Gone {
 			if now.Sub(u.tombstoneAt) > cancelMemory {
@@ -305,7 +309,7 @@
 	u.phase = notHeld
 	u.holder = ""
 	h.out.Notices = append(h.out.Notices, Notice{Upstream: u.Upstream, Token: u.token})
-	u.retakeAt = now.Add(retakeDelay)
+	u.retakeAt = now.Add(h.config.StrangerDelay)
 	u.refused = u.token
 	for _, r := range u.runs {
 		r.state = doubtful
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -16,6 +16,9 @@
 	// BlindTries is how often a VM tries to take an upstream that it has not
 	// heard itself since: one behind a partition is left to the VMs there.
 	BlindTries int
+	// StrangerDelay is the pause before an upstream is taken back from a VM that is
+	// not heard.
+	StrangerDelay time.Duration
 	// OnlyOwnDataCentre keeps a VM from holding upstreams of other data centres:
 	// it cannot tell who holds those.
 	OnlyOwnDataCentre bool
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -10,6 +10,9 @@
 	"github.com/stretchr/testify/require"
 )
 
+// strangerDelay is that of the holders here.
+const strangerDelay = 3 * time.Second
+
 var testStart = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
 
 func testUpstream(id, dataCentre string) Upstream {
@@ -19,10 +22,17 @@
 	}
 }
 
-// callsAfter ticks a holder through its settling time and returns its calls.
+// callsAfter ticks a holder that hears an entry through its settling time and returns
+// its calls.
 func callsAfter(h *Holder, now time.Time) []Call {
+	return callsAt(h, now.Add(DefaultTiming().Settle+assignEvery))
+}
+
+// callsAt ticks a holder that hears an entry and returns its calls.
+func callsAt(h *Holder, now time.Time) []Call {
 	var out Effects
-	h.Tick(now.Add(DefaultTiming().Settle+assignEvery), &out)
+	h.Hear(now, "entry", "1", &out)
+	h.Tick(now, &out)
 	return out.Calls
 }
 
@@ -38,7 +48,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := New(Config{
-				VM: "1", DataCentre: "a", Timing: DefaultTiming(), TokenEpoch: testStart, BlindTries: 2, OnlyOwnDataCentre: c.only,
+				VM: "1", DataCentre: "a", Timing: DefaultTiming(), TokenEpoch: testStart, BlindTries: 2, StrangerDelay: strangerDelay, OnlyOwnDataCentre: c.only,
 			})
 			h.SetPeers([]Peer{{VM: "1", DataCentre: "a", CanHold: true, IsReady: true}})
 			var out Effects
@@ -54,7 +64,7 @@
 // newActive returns a holder that holds one upstream, and the call that took it.
 func newActive(t *testing.T, peers ...Peer) (*Holder, Upstream, Call) {
 	t.Helper()
-	h := New(Config{VM: "1", DataCentre: "a", Timing: DefaultTiming(), TokenEpoch: testStart, BlindTries: 2})
+	h := New(Config{VM: "1", DataCentre: "a", Timing: DefaultTiming(), TokenEpoch: testStart, BlindTries: 2, StrangerDelay: strangerDelay})
 	h.SetPeers(append(peers, Peer{VM: "1", DataCentre: "a", CanHold: true, IsReady: true}))
 	u := testUpstream("u", "a")
 	for i := 0; ; i++ {
@@ -97,14 +107,36 @@
 	var out Effects
 	h.Result(now, &CallResult{Call: call, Status: CallFenced}, &out)
 	h.Notice(now, "2", Notice{Upstream: u, Holder: "2", Token: call.Token + 1<<tokenBits}, &out)
+	assert.Empty(t, callsAt(h, now.Add(retakeDelay+assignEvery)), "taken by force")
 	out.Reset()
-	h.Tick(now.Add(retakeDelay+assignEvery), &out)
-	assert.Empty(t, out.Calls, "taken by force")
 	h.Handover(now.Add(2*retakeDelay), "2", u.ID, call.Token+1<<tokenBits, &out)
 	require.Len(t, out.Calls, 1)
 	assert.Greater(t, out.Calls[0].Token, call.Token+1<<tokenBits)
 }
 
+// TestTakesBackFromStranger holds that a VM fenced by one that it does not hear leaves
+// that one time to serve its callers, and takes the upstream back then.
+func TestTakesBackFromStranger(t *testing.T) {
+	h, _, call := newActive(t)
+	now := call.SentAt.Add(time.Second)
+	var out Effects
+	h.Result(now, &CallResult{Call: call, Status: CallFenced}, &out)
+	assert.Empty(t, callsAt(h, now.Add(strangerDelay-assignEvery)))
+	assert.Len(t, callsAt(h, now.Add(strangerDelay+assignEvery)), 1)
+}
+
+// TestHolderWithoutEntries holds that a VM which hears no entry leaves upstreams to
+// those that may: nobody can hand it a job.
+func TestHolderWithoutEntries(t *testing.T) {
+	h := New(Config{VM: "1", DataCentre: "a", Timing: DefaultTiming(), TokenEpoch: testStart, BlindTries: 2, StrangerDelay: strangerDelay})
+	h.SetPeers([]Peer{{VM: "1", DataCentre: "a", CanHold: true, IsReady: true}})
+	var out Effects
+	h.Report(testStart, testUpstream("u", "a"), &out)
+	h.Tick(testStart.Add(time.Second), &out)
+	assert.Empty(t, out.Calls)
+	assert.Len(t, callsAt(h, testStart.Add(2*time.Second)), 1)
+}
+
 func testOrder(id string, attempt int) Order {
 	return Order{
 		ID: id, Attempt: attempt, Service: "booking", MaxAttempts: 2, Objective: time.Second, Remaining: 5 * time.Second,
