A start without an answer for 30 ms moves its task on

Ruled out: capacity.

Change: the holder stops a run whose start is not answered within 30 ms, asks for the list at once when the stop is confirmed, believes a list asked for in the same instant, and starts the task elsewhere. After a standstill nothing is judged before answers were read. A silent upstream is asked without waiting for an end; upstreams that are being taken count as places at admission.

TestUnansweredStartMovesOn fails without.

--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -86,6 +86,12 @@
 	return u.phase == active && u.State == Ready && !now.Before(u.pausedUntil) && !u.isSilent && !u.hasDoubt(now)
 }
 
+// isAtHand reports whether new runs may start there now, or as soon as the call that
+// takes it is answered.
+func (u *held) isAtHand(now time.Time) bool {
+	return u.isUsable(now) || u.phase == taking && u.State == Ready && u.takeTries == 0
+}
+
 // hasDoubt reports whether a run there goes on against our will, as stops of it
 // are not confirmed. Then no lease is renewed, so that it ends with its lease.
 func (u *held) hasDoubt(now time.Time) bool {
@@ -151,13 +157,13 @@
 		return
 	}
 	switch {
-	case u.phase == taking:
+	case u.phase == taking, u.isSilent:
 		h.hold(now, u, 0)
 	case u.hasStopping():
 		h.hold(now, u, h.config.Timing.StopTime)
 	case len(u.runs) > 0:
 		h.hold(now, u, h.config.Timing.HoldWait)
-	case u.isSilent, u.lastEnd > u.ackedEnd && now.Sub(u.endsAt) >= endAckDelay:
+	case u.lastEnd > u.ackedEnd && now.Sub(u.endsAt) >= endAckDelay:
 		h.hold(now, u, 0)
 	}
 }
@@ -170,7 +176,7 @@
 	}
 	asked := now.Sub(u.holdSentAt)
 	for _, r := range u.runs {
-		isStopped := r.state == stopping && u.holdSentAt.Before(r.settled) && now.Sub(r.settled) > h.config.Timing.StopTime
+		isStopped := r.state == stopping && u.holdSentAt.Before(r.settled) && (!r.hasStarted || now.Sub(r.settled) > h.config.Timing.StopTime)
 		due := r.sentAt.Add(time.Duration(float64(r.expected) * overdueFactor))
 		isOverdue := r.state == running && now.After(due) && asked > overdueEvery
 		if isStopped || isOverdue {
@@ -193,6 +199,8 @@
 func (h *Holder) tendRun(now time.Time, u *held, r *run) {
 	limit := r.expected*stragglerFactor + stragglerSlack
 	switch {
+	case r.state == starting && h.isSteady && now.Sub(r.sentAt) > startPatience:
+		h.doubtStart(now, u, r, "no answer yet")
 	case r.state == doubtful && !r.stopOut:
 		h.stop(now, u, r)
 	case r.state == running && !r.straggler && now.Sub(r.sentAt) > limit && now.Sub(u.listedAt) < freshness && !r.isProgressing(now):
@@ -217,6 +225,20 @@
 	return elapsed*100/time.Duration(r.percent) < 2*elapsed
 }
 
+// doubtStart stops a run whose start is not answered: it may be carried out now or
+// later, and its task goes elsewhere once the stop is confirmed.
+func (h *Holder) doubtStart(now time.Time, u *held, r *run, text string) {
+	r.state = doubtful
+	h.decide(Decision{
+		Event: "start-unanswered", Job: r.task.job.ID, Task: r.task.name, Run: r.number, Upstream: u.ID, Reason: text, IsFault: true,
+	})
+	u.failures++
+	r.task.avoid = append(r.task.avoid, u.ID)
+	if !r.stopOut && u.phase != notHeld {
+		h.stop(now, u, r)
+	}
+}
+
 // slowDown learns from a run that has not ended that the upstream is slow.
 func (u *held) slowDown(now time.Time, r *run) {
 	estimate := r.task.job.Steps[r.task.step].Estimate
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -50,9 +50,13 @@
 	// isPlacing says that a place has come free or a task waits anew since tasks
 	// were placed last.
 	isPlacing bool
-	assignAt  time.Time
-	noticeAt  time.Time
-	out       *Effects
+	// tickAt is the last look at the clock, isSteady that the one before was shortly
+	// before it.
+	tickAt   time.Time
+	isSteady bool
+	assignAt time.Time
+	noticeAt time.Time
+	out      *Effects
 }
 
 // entry is one VM that hands in jobs.
@@ -134,6 +138,8 @@
 // Tick lets time pass.
 func (h *Holder) Tick(now time.Time, out *Effects) {
 	h.out = out
+	h.isSteady = now.Sub(h.tickAt) <= steadyTick
+	h.tickAt = now
 	for vm, e := range h.entries {
 		if now.Sub(e.heardAt) > h.config.Timing.Silence {
 			h.abandon(now, vm, "the entry is silent")
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -125,6 +125,42 @@
 	assert.Len(t, callsAt(h, now.Add(strangerDelay+assignEvery)), 1)
 }
 
+// TestUnansweredStartMovesOn answers the pattern in which upstreams leave starts
+// unanswered: a task of 60 ms is started elsewhere while it can be on time.
+func TestUnansweredStartMovesOn(t *testing.T) {
+	const objective, taskTime = 156 * time.Millisecond, 60 * time.Millisecond
+	h, u, call := newActive(t)
+	second := testUpstream("second", "a")
+	var out Effects
+	h.Report(call.SentAt, second, &out)
+	now := call.SentAt.Add(assignEvery)
+	for _, c := range callsAt(h, now) {
+		h.Result(now, &CallResult{Call: c, Status: CallOK, Clock: time.Second, Born: u.Born}, &out)
+	}
+	out.Reset()
+	order := testOrder("short", 1)
+	order.Objective, order.Steps[0].Estimate = objective, taskTime
+	h.Submit(now, "entry", order, &out)
+	require.Len(t, out.Calls, 1)
+	first := out.Calls[0]
+	asked := now
+	for out.Reset(); now.Sub(asked) <= objective; now = now.Add(5 * time.Millisecond) {
+		h.Hear(now, "entry", "1", &out)
+		h.Tick(now, &out)
+		calls := out.Calls
+		out = Effects{}
+		for _, c := range calls {
+			if c.Kind == StartCall {
+				assert.NotEqual(t, first.Upstream, c.Upstream)
+				assert.LessOrEqual(t, now.Sub(asked)+taskTime, objective, "too late to be on time")
+				return
+			}
+			h.Result(now, &CallResult{Call: c, Status: CallOK, Clock: time.Second, Born: u.Born}, &out)
+		}
+	}
+	t.Fatal("not started elsewhere")
+}
+
 // TestHolderWithoutEntries holds that a VM which hears no entry leaves upstreams to
 // those that may: nobody can hand it a job.
 func TestHolderWithoutEntries(t *testing.T) {
--- a/internal/holder/job.go
+++ b/internal/holder/job.go
@@ -47,6 +47,8 @@
 	doubtedAt time.Time
 	stopOut   bool
 	straggler bool
+	// hasStarted says that the start was answered.
+	hasStarted bool
 }
 
 type runState int
--- a/internal/holder/place.go
+++ b/internal/holder/place.go
@@ -231,8 +231,7 @@
 	h.decide(Decision{Event: "task-started", Job: t.job.ID, Task: t.name, Run: r.number, Upstream: u.ID, Wait: now.Sub(t.job.arrivedAt)})
 }
 
-// startTimeout bounds a start: an upstream answers at once, and the task is
-// placed elsewhere the sooner the shorter it is.
+// startTimeout bounds the call of a start, of which the task does not wait for the end.
 const startTimeout = 100 * time.Millisecond
 
 // expectedWait is how long an order would wait for places here: none if all its
@@ -241,7 +240,7 @@
 	wait := h.backlog(now)
 	free := int64(0)
 	for _, u := range h.upstreams {
-		if u.isUsable(now) && u.Service == o.Service {
+		if u.isAtHand(now) && u.Service == o.Service {
 			free += h.roomFor(u, o)
 		}
 	}
@@ -319,7 +318,7 @@
 	}
 	speed := 0.0
 	for _, u := range h.upstreams {
-		if u.isUsable(now) {
+		if u.isAtHand(now) {
 			speed += u.speed * float64(u.Capacity.MilliCores) * packing
 		}
 	}
--- a/internal/holder/results.go
+++ b/internal/holder/results.go
@@ -64,6 +64,7 @@
 		if r.state == starting {
 			r.state = running
 			r.settled = now
+			r.hasStarted = true
 		}
 		if r.discarded && !r.stopOut {
 			r.state = doubtful
@@ -71,11 +72,8 @@
 		}
 		return
 	case CallUnanswered:
-		r.state = doubtful
-		h.decide(Decision{Event: "start-unanswered", Job: t.job.ID, Task: t.name, Run: r.number, Upstream: u.ID, Reason: result.Text, IsFault: true})
-		u.failures++
-		if !r.stopOut && u.phase != notHeld {
-			h.stop(now, u, r)
+		if r.state == starting {
+			h.doubtStart(now, u, r, result.Text)
 		}
 		return
 	case CallInvalid:
@@ -130,6 +128,10 @@
 	if !u.holdOut || u.holdSentAt.Before(now) {
 		u.holdRetryAt = time.Time{}
 	}
+	if u.phase != taking && !r.hasStarted {
+		// A run that was never there does not end, so that no waiting call tells.
+		h.hold(now, u, 0)
+	}
 }
 
 func (h *Holder) holdResult(now time.Time, u *held, result *CallResult) {
@@ -221,7 +223,7 @@
 		})
 	}
 	for key, r := range u.runs {
-		isSettled := !r.settled.IsZero() && r.settled.Before(result.Call.SentAt)
+		isSettled := !r.settled.IsZero() && !r.settled.After(result.Call.SentAt)
 		if present[key] || !isSettled || r.state == starting || r.state == doubtful {
 			continue
 		}
--- a/internal/holder/timing.go
+++ b/internal/holder/timing.go
@@ -47,6 +47,12 @@
 	// doubtLimit is how long leases are renewed beside a run whose stop is not
 	// confirmed: two lost stops.
 	doubtLimit = 200 * time.Millisecond
+	// startPatience is how long the answer to a start may take: many round trips, and
+	// short enough for a task of 60 ms to be on time elsewhere.
+	startPatience = 30 * time.Millisecond
+	// steadyTick is the pause between two looks at the clock up to which answers
+	// that have come were read in between.
+	steadyTick = 50 * time.Millisecond
 	// probeEvery is the pause between calls to an upstream that has not answered.
 	probeEvery = 200 * time.Millisecond
 	// overdueFactor times its expected run time, and overdueEvery, is when the end
