State VMs remember the other VMs on disk and dial them; dials 50 ms apart

Ruled out: reading the disk (30 ms).

Change: a state VM keeps the VMs that it knows beside the upstreams and dials them when it starts; pauses between dials stay at 50 ms.

--- a/internal/conductor/decoder.go
+++ b/internal/conductor/decoder.go
@@ -21,11 +21,7 @@
 		IsLeaving: w.GetLeaving(), IsReady: w.GetReady(), Configuration: w.GetConfiguration(),
 	}
 	for _, n := range w.GetNeighbours() {
-		h.Neighbours = append(h.Neighbours, tracker.Neighbour{
-			VM: n.GetVm(), Incarnation: n.GetIncarnation(), DataCentre: n.GetDataCentre(),
-			HeardAgo: time.Duration(n.GetHeardAgo()), IsLeaving: n.GetLeaving(), IsState: n.GetIsState(),
-			IsRelayed: n.GetRelayed(),
-		})
+		h.Neighbours = append(h.Neighbours, decodeNeighbour(n))
 	}
 	if l := w.GetLoad(); l != nil {
 		h.Load = holder.Load{
@@ -42,6 +38,14 @@
 	return h
 }
 
+func decodeNeighbour(n *wire.Neighbour) tracker.Neighbour {
+	return tracker.Neighbour{
+		VM: n.GetVm(), Incarnation: n.GetIncarnation(), DataCentre: n.GetDataCentre(),
+		HeardAgo: time.Duration(n.GetHeardAgo()), IsLeaving: n.GetLeaving(), IsState: n.GetIsState(),
+		IsRelayed: n.GetRelayed(),
+	}
+}
+
 func decodeOrder(w *wire.JobOrder) (holder.Order, error) {
 	o := holder.Order{
 		ID: w.GetId(), Request: w.GetRequest(), Attempt: int(w.GetAttempt()), Route: w.GetRoute(), Service: w.GetService(),
--- a/internal/conductor/encoder.go
+++ b/internal/conductor/encoder.go
@@ -13,11 +13,8 @@
 	w := &wire.Pulse{
 		DataCentre: h.DataCentre, IsState: h.IsState, Leaving: h.IsLeaving, Ready: h.IsReady, Configuration: h.Configuration,
 	}
-	for _, n := range h.Neighbours {
-		w.Neighbours = append(w.Neighbours, &wire.Neighbour{
-			Vm: n.VM, Incarnation: n.Incarnation, DataCentre: n.DataCentre, HeardAgo: int64(n.HeardAgo), Leaving: n.IsLeaving, IsState: n.IsState,
-			Relayed: n.IsRelayed,
-		})
+	for i := range h.Neighbours {
+		w.Neighbours = append(w.Neighbours, encodeNeighbour(&h.Neighbours[i]))
 	}
 	if h.Load.TotalMilliCores == 0 && len(h.Load.Pending) == 0 {
 		return w
@@ -35,6 +32,13 @@
 	return w
 }
 
+func encodeNeighbour(n *tracker.Neighbour) *wire.Neighbour {
+	return &wire.Neighbour{
+		Vm: n.VM, Incarnation: n.Incarnation, DataCentre: n.DataCentre, HeardAgo: int64(n.HeardAgo), Leaving: n.IsLeaving,
+		IsState: n.IsState, Relayed: n.IsRelayed,
+	}
+}
+
 func encodeOrder(o *holder.Order) *wire.JobOrder {
 	w := &wire.JobOrder{
 		Id: o.ID, Request: o.Request, Attempt: uint32(o.Attempt), Route: o.Route, Service: o.Service, Spec: o.Spec,
--- a/internal/conductor/memory.go
+++ b/internal/conductor/memory.go
@@ -11,19 +11,20 @@
 	"bronzedrift.example/bronzedrift/internal/messenger/wire"
 	"bronzedrift.example/bronzedrift/internal/recorder"
 	"bronzedrift.example/bronzedrift/internal/storer"
+	"bronzedrift.example/bronzedrift/internal/tracker"
 )
 
 const (
-	// memoryFile and memoryNew hold the upstreams that were last known. They save
-	// a VM that lost its memory the time until all have reported again, and
-	// promise nothing: each upstream is asked before it is used.
+	// memoryFile and memoryNew hold the upstreams and VMs that were last known. They
+	// save a VM that lost its memory the time until all have reported again, and
+	// promise nothing: each upstream is asked before it is used, each VM dialled.
 	memoryFile = "upstreams"
 	memoryNew  = "upstreams.new"
 	// rememberEvery is the pause between two writes.
 	rememberEvery = 2 * time.Second
 )
 
-// remember writes the known upstreams to the data folder when they have changed.
+// remember writes the known upstreams and VMs to the data folder when they change.
 func (d *Conductor) remember(ctx context.Context) error {
 	ticker := time.NewTicker(rememberEvery)
 	defer ticker.Stop()
@@ -35,9 +36,10 @@
 		case <-ticker.C:
 		}
 		var notices []holder.Notice
-		d.inspect(ctx, func(time.Time) { notices = d.holder.Notices() })
-		list, key := encodeMemory(notices)
-		if key == last || len(notices) == 0 {
+		var vms []tracker.Neighbour
+		d.inspect(ctx, func(time.Time) { notices, vms = d.holder.Notices(), d.peers.All() })
+		list, key := encodeMemory(notices, vms)
+		if key == last || len(notices)+len(vms) == 0 {
 			continue
 		}
 		if err := d.writeMemory(list); err != nil {
@@ -48,9 +50,9 @@
 	}
 }
 
-// encodeMemory returns the upstreams to be kept, and what tells a change.
-func encodeMemory(notices []holder.Notice) (*wire.Upstreams, string) {
-	list := &wire.Upstreams{}
+// encodeMemory returns what is to be kept, and what tells a change.
+func encodeMemory(notices []holder.Notice, vms []tracker.Neighbour) (*wire.Memory, string) {
+	list := &wire.Memory{}
 	key := uint64(0)
 	for i := range notices {
 		u := &notices[i].Upstream
@@ -60,13 +62,17 @@
 		list.Upstreams = append(list.Upstreams, encodeNotice(&notices[i]))
 		key += hash(u.ID + u.Address.String() + u.Born.String())
 	}
-	return list, fmt.Sprint(len(list.GetUpstreams()), key)
+	for i := range vms {
+		list.Vms = append(list.Vms, encodeNeighbour(&vms[i]))
+		key += hash(vms[i].VM)
+	}
+	return list, fmt.Sprint(len(list.GetUpstreams()), len(list.GetVms()), key)
 }
 
-func (d *Conductor) writeMemory(list *wire.Upstreams) error {
+func (d *Conductor) writeMemory(list *wire.Memory) error {
 	data, err := proto.Marshal(list)
 	if err != nil {
-		return fmt.Errorf("conductor: upstreams: %w", err)
+		return fmt.Errorf("conductor: memory: %w", err)
 	}
 	// What an earlier attempt left is not there most of the time.
 	_ = d.disk.Remove(memoryNew)
@@ -76,22 +82,23 @@
 		func() error { return d.disk.Rename(memoryNew, memoryFile) },
 	} {
 		if err := step(); err != nil {
-			return fmt.Errorf("conductor: upstreams: %w", err)
+			return fmt.Errorf("conductor: memory: %w", err)
 		}
 	}
 	return nil
 }
 
-// recall learns the upstreams of an earlier life of this VM.
+// recall learns the upstreams of an earlier life of this VM, and dials the VMs: entries
+// that wait for a state VM need not find it first.
 func (d *Conductor) recall(disk *storer.Disk) {
 	data, err := disk.Read(memoryFile)
 	if err != nil {
 		// A new disk has no such file.
 		return
 	}
-	list := &wire.Upstreams{}
+	list := &wire.Memory{}
 	if err := proto.Unmarshal(data, list); err != nil {
-		d.event(recorder.Event{Number: recorder.LogTailCut, Text: "upstreams: " + err.Error(), Task: recorder.NoTask})
+		d.event(recorder.Event{Number: recorder.LogTailCut, Text: "memory: " + err.Error(), Task: recorder.NoTask})
 		return
 	}
 	var out holder.Effects
@@ -104,4 +111,8 @@
 		notice.Holder, notice.Token = "", 0
 		d.holder.Notice(d.startedAt, d.config.Inner.String(), notice, &out)
 	}
+	for _, w := range list.GetVms() {
+		d.peers.Recall(d.startedAt, decodeNeighbour(w))
+		d.link(w.GetVm())
+	}
 }
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -18,10 +18,9 @@
 
 const (
 	// dialTimeout is many round trips of a few milliseconds; a VM that was dark is
-	// dialled anew soon after it is back.
+	// dialled anew soon after it is back, at one packet for each try.
 	dialTimeout      = 150 * time.Millisecond
 	redialDelay      = 50 * time.Millisecond
-	redialMax        = 250 * time.Millisecond
 	heartbeat        = 250 * time.Millisecond
 	silenceTimeout   = time.Second
 	maxBatch         = 512
@@ -75,11 +74,9 @@
 
 // run dials the peer again and again and sends until the link breaks.
 func (l *link) run(ctx context.Context) {
-	delay := redialDelay
 	for ctx.Err() == nil {
 		stream, session, err := l.dial(ctx)
 		if err == nil {
-			delay = redialDelay
 			l.drainRing()
 			l.messenger.handlers.PeerUp(l.peer.VM)
 			l.pump(ctx, stream, session)
@@ -89,18 +86,16 @@
 		if ctx.Err() != nil {
 			return
 		}
-		delay = l.pause(ctx, delay)
+		l.pause(ctx)
 	}
 }
 
-func (l *link) pause(ctx context.Context, delay time.Duration) time.Duration {
+func (l *link) pause(ctx context.Context) {
 	select {
 	case <-ctx.Done():
 	case <-l.wake:
-		return redialDelay
-	case <-time.After(delay):
+	case <-time.After(redialDelay):
 	}
-	return min(2*delay, redialMax)
 }
 
 // drainRing drops what was queued for a session that has ended: the peer is
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -213,6 +213,28 @@
 	return list
 }
 
+// All returns all known VMs by name, without what a moment later is no longer so.
+func (t *Tracker) All() []Neighbour {
+	list := make([]Neighbour, 0, len(t.peers))
+	for vm, p := range t.peers {
+		list = append(list, Neighbour{VM: vm, DataCentre: p.DataCentre, IsState: p.IsState})
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].VM < list[k].VM })
+	return list
+}
+
+// Recall learns a VM that an earlier life of this one has known, which says nothing
+// of whether it is still there.
+func (t *Tracker) Recall(now time.Time, n Neighbour) {
+	if n.VM == t.self || t.peers[n.VM] != nil {
+		return
+	}
+	t.peers[n.VM] = &Peer{
+		Heartbeat: Heartbeat{VM: n.VM, DataCentre: n.DataCentre, IsState: n.IsState},
+		SeenAt:    now.Add(-evidenceSilence),
+	}
+}
+
 // Entries returns the known entries, by name.
 func (t *Tracker) Entries() []*Peer {
 	var list []*Peer
