A fault soak with real processes: bronzedrift-soak

The inner protocol can be bound behind a proxy (inner-listen), and a clock be off (clock-offset-ms), both settings of our own.

--- /dev/null
+++ b/cmd/bronzedrift-soak/main.go
@@ -0,0 +1,86 @@
+// Command bronzedrift-soak runs the real programs under faults and checks their
+// promises.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"bronzedrift.example/bronzedrift/platform/soaker"
+)
+
+// Exit codes.
+const (
+	exitFailure   = 1
+	exitViolation = 3
+)
+
+func main() {
+	c := soaker.Config{States: 4}
+	scale, isQuiet := 1, false
+	command := &cobra.Command{
+		Use:           "bronzedrift-soak --seed N --duration D",
+		Short:         "Run the real programs on this machine under faults drawn from a seed, and check their promises",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(*cobra.Command, []string) error {
+			c.Entries, c.Upstreams, c.Rate = 6*scale, 24*scale, c.Rate*float64(scale)
+			if !isQuiet {
+				c.Progress = os.Stderr
+			}
+			return run(c)
+		},
+	}
+	flags := command.Flags()
+	flags.Uint64Var(&c.Seed, "seed", 1, "what the faults and the load are drawn from")
+	flags.DurationVar(&c.Duration, "duration", time.Minute, "time of faults; about 30 s of recovery follow")
+	flags.Float64Var(&c.Rate, "rate", 30, "jobs a second, times the scale")
+	flags.IntVar(&scale, "scale", 1, "times as many entries and upstreams, at most 8")
+	flags.StringVar(&c.Program, "program", "", "a built bronzedrift-node; built anew where it is not given")
+	flags.BoolVar(&isQuiet, "quiet", false, "no line for each fault")
+	if err := command.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		if errors.Is(err, soaker.ErrViolation) {
+			os.Exit(exitViolation)
+		}
+		os.Exit(exitFailure)
+	}
+}
+
+func run(c soaker.Config) error {
+	folder, err := os.MkdirTemp("", "bronzedrift-soak-")
+	if err != nil {
+		return err
+	}
+	c.Folder = folder
+	if c.Program == "" {
+		c.Program = filepath.Join(folder, "bronzedrift-node")
+		build := exec.Command("go", "build", "-o", c.Program, "./platform/bronzedrift-node")
+		build.Stderr = os.Stderr
+		if err := build.Run(); err != nil {
+			return fmt.Errorf("bronzedrift-soak: building the program: %w", err)
+		}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	s := soaker.New(c)
+	err = s.Run(ctx)
+	if reportErr := s.Report(os.Stdout); reportErr != nil {
+		return reportErr
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "logs of the processes:", folder)
+		return err
+	}
+	return os.RemoveAll(folder)
+}
--- a/internal/conductor/clock.go
+++ b/internal/conductor/clock.go
@@ -14,13 +14,13 @@
 	boot time.Duration
 }
 
-// NewClock starts a clock at the present time of day.
-func NewClock() (*Clock, error) {
+// NewClock starts a clock at the present time of day, which may be off by offset.
+func NewClock(offset time.Duration) (*Clock, error) {
 	boot, err := sinceBoot()
 	if err != nil {
 		return nil, fmt.Errorf("conductor: clock: %w", err)
 	}
-	return &Clock{base: time.Now().Round(0), boot: boot}, nil
+	return &Clock{base: time.Now().Round(0).Add(offset), boot: boot}, nil
 }
 
 // Now returns the present time.
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -37,6 +37,9 @@
 	DataCentre string
 	// Inner is the address of the inner protocol, which names the VM to others.
 	Inner netip.AddrPort
+	// InnerListen is where the inner protocol is bound if others reach Inner over a
+	// proxy, which tells VMs apart by the addresses that they dial from.
+	InnerListen netip.AddrPort
 	// Seeds are inner addresses of state VMs, which may be out of date.
 	Seeds []netip.AddrPort
 	// IsState says that the VM keeps the configuration and holds upstreams.
@@ -201,8 +204,12 @@
 	for _, s := range d.config.Seeds {
 		peers = append(peers, messenger.Peer{VM: s.String(), Inner: s})
 	}
+	listen, dialFrom := d.config.Inner, netip.Addr{}
+	if d.config.InnerListen.IsValid() {
+		listen, dialFrom = d.config.InnerListen, d.config.Inner.Addr()
+	}
 	m, err := messenger.New(messenger.Config{
-		VM: d.config.Inner.String(), DataCentre: d.config.DataCentre, Listen: d.config.Inner, Peers: peers,
+		VM: d.config.Inner.String(), DataCentre: d.config.DataCentre, Listen: listen, DialFrom: dialFrom, Peers: peers,
 		RingSize: linkRing, AdmitsAll: true, Heartbeat: linkHeartbeat, Silence: linkSilence,
 	}, messenger.Handlers{
 		Log:      d.receiveState,
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -148,6 +148,9 @@
 		}
 	}()
 	var dialer net.Dialer
+	if from := l.messenger.config.DialFrom; from.IsValid() {
+		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(from, 0))
+	}
 	return dialer.DialContext(ctx, "tcp", l.peer.Inner.String())
 }
 
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -31,9 +31,11 @@
 	VM         string
 	DataCentre string
 	Listen     netip.AddrPort
-	Peers      []Peer
-	Secret     string
-	RingSize   int
+	// DialFrom is the address that links are dialled from; any where it is not set.
+	DialFrom netip.Addr
+	Peers    []Peer
+	Secret   string
+	RingSize int
 	// AdmitsAll lets VMs link that are not among the peers; each becomes a peer
 	// under the inner address that it names as its VM.
 	AdmitsAll bool
