State VMs settle as soon as all they knew are heard; refused dials and first room count at once

Cause: all processes of the state VMs killed and back after 0.51 s: upstreams were held again 0.27 s later (a fixed time of listening), heartbeats told of it up to 0.1 s later, and for 0.35 s entries sent jobs to processes that did not exist any more. Ruled out: reading the disk, the election (0.1 s, not in the way of jobs).

Change: a VM that has started takes upstreams once all VMs are heard that its memory names; a heartbeat is sent on each new link and when the first upstream is held; a VM whose port refuses connections is not within reach, though others may hear it; a stand-in waits 0.15 s and evidence by others counts for 0.5 s.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -79,11 +79,16 @@
 	ctx         context.Context
 	version     atomic.Uint64
 	stateVMs    atomic.Pointer[[]string]
-	ready       atomic.Bool
-	idle        atomic.Bool
-	leaving     bool
-	beats       int
-	absence     absence
+	// recalled are the VMs that an earlier life of this one has known.
+	recalled   []string
+	allHeardAt time.Time
+	hasSettled bool
+	hadRoom    bool
+	ready      atomic.Bool
+	idle       atomic.Bool
+	leaving    bool
+	beats      int
+	absence    absence
 	// local are messages of this VM to itself.
 	local      []func(now time.Time)
 	startedAt  time.Time
@@ -212,13 +217,14 @@
 		VM: d.config.Inner.String(), DataCentre: d.config.DataCentre, Listen: listen, DialFrom: dialFrom, Peers: peers,
 		RingSize: linkRing, AdmitsAll: true, Heartbeat: linkHeartbeat, Silence: linkSilence,
 	}, messenger.Handlers{
-		Log:      d.receiveState,
-		Relay:    d.receive,
-		PeerUp:   d.peerUp,
-		PeerLost: func(vm string) { d.event(recorder.Event{Number: recorder.LinkLost, Peer: vm, Task: recorder.NoTask}) },
-		Event:    d.event,
-		Clock:    d.ring.Clock,
-		Observe:  func(c recorder.Clock) { d.ring.Observe(d.now(), c) },
+		Log:         d.receiveState,
+		Relay:       d.receive,
+		PeerUp:      d.peerUp,
+		PeerLost:    func(vm string) { d.event(recorder.Event{Number: recorder.LinkLost, Peer: vm, Task: recorder.NoTask}) },
+		PeerRefused: func(vm string) { d.put(func(time.Time) { d.peers.Refuse(vm) }) },
+		Event:       d.event,
+		Clock:       d.ring.Clock,
+		Observe:     func(c recorder.Clock) { d.ring.Observe(d.now(), c) },
 	})
 	if err != nil {
 		return fmt.Errorf("conductor: %w", err)
@@ -333,7 +339,7 @@
 		d.holder.Hear(now, d.config.Inner.String(), d.incarnation, &d.holderOut)
 		d.forwarder.Tick(now, &d.forwardOut)
 	}
-	if now.Sub(d.beatAt) >= tracker.HeartbeatEvery {
+	if now.Sub(d.beatAt) >= tracker.HeartbeatEvery || d.hasRoomNow() {
 		d.beatAt = now
 		d.beat(now)
 	}
--- a/internal/conductor/heartbeat.go
+++ b/internal/conductor/heartbeat.go
@@ -26,8 +26,21 @@
 }
 
 // isSettled reports whether this VM has listened long enough to know who holds
-// what: less where all seeds were heard.
+// what: until all VMs are heard that it has known before, since each tells what it
+// holds before its first heartbeat; for a time otherwise, less where all seeds were heard.
 func (d *Conductor) isSettled(now time.Time) bool {
+	switch {
+	case len(d.recalled) == 0 || !d.hearsAll(now, d.recalled):
+		d.allHeardAt = time.Time{}
+	case d.allHeardAt.IsZero():
+		d.allHeardAt = now
+	}
+	if !d.allHeardAt.IsZero() && now.Sub(d.allHeardAt) >= noticesWait {
+		d.hasSettled = true
+	}
+	if d.hasSettled {
+		return true
+	}
 	age := now.Sub(d.startedAt)
 	settle := d.config.Timing.Settle
 	if age < settle || age >= settlePatience*settle {
@@ -41,17 +54,44 @@
 	return true
 }
 
+func (d *Conductor) hearsAll(now time.Time, vms []string) bool {
+	for _, vm := range vms {
+		if !d.peers.IsDirect(now, vm) {
+			return false
+		}
+	}
+	return true
+}
+
+// hasRoomNow reports whether this VM has begun to hold upstreams since the last
+// heartbeat: callers wait for that.
+func (d *Conductor) hasRoomNow() bool {
+	has := d.holder.HasRoom()
+	isNew := has && !d.hadRoom
+	d.hadRoom = has
+	return isNew
+}
+
+// noticesWait is how long what VMs hold may come after their first heartbeat, on the
+// same link.
+const noticesWait = 2 * tickEvery
+
 // settlePatience times the settling time is how long a VM waits for its seeds.
 const settlePatience = 2
 
-// beat tells all peers that this VM is alive, and what it offers. State VMs also
-// tell entries, more seldom, of the other entries of their data centre.
-func (d *Conductor) beat(now time.Time) {
-	h := tracker.Heartbeat{
+// heartbeat returns what this VM tells all peers.
+func (d *Conductor) heartbeat(now time.Time) tracker.Heartbeat {
+	return tracker.Heartbeat{
 		VM: d.config.Inner.String(), Incarnation: d.incarnation,
 		DataCentre: d.config.DataCentre, IsState: d.config.IsState, IsLeaving: d.leaving, IsReady: d.isSettled(now),
 		Configuration: d.version.Load(), Neighbours: d.peers.Neighbours(now, ""), Load: d.holder.Load(now),
 	}
+}
+
+// beat tells all peers that this VM is alive, and what it offers. State VMs also
+// tell entries, more seldom, of the other entries of their data centre.
+func (d *Conductor) beat(now time.Time) {
+	h := d.heartbeat(now)
 	if !d.config.IsState {
 		d.peers.Hear(now, h, "")
 	}
--- a/internal/conductor/memory.go
+++ b/internal/conductor/memory.go
@@ -113,6 +113,7 @@
 	}
 	for _, w := range list.GetVms() {
 		d.peers.Recall(d.startedAt, decodeNeighbour(w))
+		d.recalled = append(d.recalled, w.GetVm())
 		d.link(w.GetVm())
 	}
 }
--- a/internal/conductor/receive.go
+++ b/internal/conductor/receive.go
@@ -140,6 +140,8 @@
 			}
 			d.send(now, vm, &wire.Relay{Body: &wire.Relay_Report{Report: encodeNotice(&n)}})
 		}
+		h := d.heartbeat(now)
+		d.send(now, vm, &wire.Relay{Body: &wire.Relay_Pulse{Pulse: encodeHeartbeat(&h)}})
 	})
 }
 
--- a/internal/conductor/standin.go
+++ b/internal/conductor/standin.go
@@ -11,8 +11,9 @@
 
 const (
 	// standInAfter is how long an entry that hears no state VM listens to other
-	// entries, which may hear one, before it holds upstreams itself.
-	standInAfter = 250 * time.Millisecond
+	// entries, which may hear one, before it holds upstreams itself: a dial, and a
+	// heartbeat.
+	standInAfter = 150 * time.Millisecond
 	// firstHearing is how long an entry that has started waits for a first word of
 	// a state VM: after a loss of power these may start later, and without them the
 	// entry knows of no upstreams that another entry does not hold.
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -179,6 +179,16 @@
 
 func (h *Holder) decide(d Decision) { h.out.Decisions = append(h.out.Decisions, d) }
 
+// HasRoom reports whether any upstream is held.
+func (h *Holder) HasRoom() bool {
+	for _, u := range h.upstreams {
+		if u.phase == active {
+			return true
+		}
+	}
+	return false
+}
+
 // Load is what a holder tells entries of its room.
 type Load struct {
 	FreeMilliCores  int64
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -86,6 +88,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if refused := l.messenger.handlers.PeerRefused; refused != nil && errors.Is(err, syscall.ECONNREFUSED) {
+			refused(l.peer.VM)
+		}
 		l.pause(ctx)
 	}
 }
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -52,9 +52,11 @@
 	Relay    func(from string, session uint64, r *wire.Relay)
 	PeerUp   func(vm string)
 	PeerLost func(vm string)
-	Event    func(recorder.Event)
-	Clock    func() recorder.Clock
-	Observe  func(recorder.Clock)
+	// PeerRefused is called where a peer's port has no listener, if it is set.
+	PeerRefused func(vm string)
+	Event       func(recorder.Event)
+	Clock       func() recorder.Clock
+	Observe     func(recorder.Clock)
 }
 
 // Errors of links.
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -67,8 +67,9 @@
 	// Silence after which a VM is not within reach: three lost heartbeats, and
 	// what delays one.
 	Silence = 400 * time.Millisecond
-	// evidenceSilence is Silence and the way over a third VM.
-	evidenceSilence = Silence + 3*HeartbeatEvery
+	// evidenceSilence is Silence and the way over a third VM, whose heartbeat is as
+	// old as the pause between two at most.
+	evidenceSilence = Silence + HeartbeatEvery
 	// forgetAfter is the silence after which a VM is forgotten.
 	forgetAfter = 20 * time.Second
 )
@@ -111,6 +112,14 @@
 	return news
 }
 
+// Refuse notes that a VM does not take connections: it has ended, or is cut off in a
+// way that says so. Others may hear it still.
+func (t *Tracker) Refuse(vm string) {
+	if p := t.peers[vm]; p != nil {
+		p.HeardAt, p.DirectAt = time.Time{}, time.Time{}
+	}
+}
+
 // hearOf takes what another VM says of a third one, and reports whether that is a
 // state VM that was not known.
 func (t *Tracker) hearOf(now time.Time, n Neighbour) bool {
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -23,3 +23,16 @@
 	tr.Recall(now, Neighbour{VM: "gone", IsState: true})
 	assert.Equal(t, []string{"gone"}, tr.Forget(now.Add(forgetAfter)))
 }
+
+// TestRefuse holds that a VM whose port has no listener is not within reach of this
+// one, but still counts as alive while others hear it.
+func TestRefuse(t *testing.T) {
+	now := time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+	tr := New("self")
+	tr.Hear(now, Heartbeat{VM: "state", Incarnation: "1", IsState: true}, "")
+	tr.Refuse("state")
+	assert.False(t, tr.IsHeard(now, "state"))
+	assert.Len(t, tr.Holders(now), 1, "others may hear it")
+	tr.Hear(now, Heartbeat{VM: "state", Incarnation: "1", IsState: true}, "")
+	assert.True(t, tr.IsHeard(now, "state"))
+}
