Entries under stress tell each other little: no storm of notices and links

Cause: entries of 0.14 cores that stood still for 0.3 s closed all inbound links, lost sight of the state VMs, linked up to 13 other entries, and each new link carried notices of all upstreams both ways; that starved them again, up to 6.5 s. Links between entries never ended. Ruled out: the relaying itself (few messages), memory (76 MB of 144).

Change: entries tell others only of upstreams that they hold; what a new link is told waits until the peer is known; links between entries end 2 s after both ends hear state VMs; an entry that stood still keeps its sessions, whose delays are known; pauses between dials grow to 150 ms.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -89,12 +89,16 @@
 	leaving    bool
 	beats      int
 	absence    absence
+	// witnessedAt is when no state VM was heard directly last.
+	witnessedAt time.Time
 	// local are messages of this VM to itself.
-	local      []func(now time.Time)
-	startedAt  time.Time
-	lastAt     time.Time
-	beatAt     time.Time
-	forgetAt   time.Time
+	local     []func(now time.Time)
+	startedAt time.Time
+	lastAt    time.Time
+	beatAt    time.Time
+	forgetAt  time.Time
+	// untold are the VMs on new links that were not told of the upstreams yet.
+	untold     map[string]bool
 	sessions   map[uint64]*session
 	closedTo   uint64
 	waiters    map[uint64]chan forwarder.Response
@@ -155,7 +159,7 @@
 		config: c, handlers: h, log: log, now: now, incarnation: uuid.NewString(),
 		ring: recorder.New(c.Name, eventRing), peers: tracker.New(self),
 		inputs: make(chan func(time.Time), inputRing), done: make(chan struct{}),
-		sessions: map[uint64]*session{}, waiters: map[uint64]chan forwarder.Response{}, metrics: newMetrics(),
+		sessions: map[uint64]*session{}, untold: map[string]bool{}, waiters: map[uint64]chan forwarder.Response{}, metrics: newMetrics(),
 		budget: recorder.NewBudget(logLines, logFaults),
 	}
 	d.startedAt = now()
@@ -323,11 +327,14 @@
 	if gap < stallGap {
 		return
 	}
-	for number := range d.sessions {
-		d.closedTo = max(d.closedTo, number)
+	if d.config.IsState {
+		// What came meanwhile may be from sessions whose delay is not known.
+		for number := range d.sessions {
+			d.closedTo = max(d.closedTo, number)
+		}
+		d.sessions = map[uint64]*session{}
+		d.messenger.CloseInbound()
 	}
-	d.sessions = map[uint64]*session{}
-	d.messenger.CloseInbound()
 	d.holder.Stall(now, gap, &d.holderOut)
 }
 
--- a/internal/conductor/heartbeat.go
+++ b/internal/conductor/heartbeat.go
@@ -124,6 +124,7 @@
 			d.messenger.RemovePeer(vm)
 		}
 	}
+	d.dropWitnesses(now)
 	for number, s := range d.sessions {
 		if now.Sub(s.usedAt) > forgetAfter {
 			delete(d.sessions, number)
--- a/internal/conductor/receive.go
+++ b/internal/conductor/receive.go
@@ -6,9 +6,11 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"bronzedrift.example/bronzedrift/internal/holder"
 	"bronzedrift.example/bronzedrift/internal/messenger"
 	"bronzedrift.example/bronzedrift/internal/messenger/wire"
 	"bronzedrift.example/bronzedrift/internal/recorder"
+	"bronzedrift.example/bronzedrift/internal/tracker"
 )
 
 // receive takes a message of another VM.
@@ -78,6 +80,7 @@
 	}
 	h := decodeHeartbeat(from, incarnation, w)
 	news := d.peers.Hear(now, h, via)
+	d.tell(now, from)
 	for _, vm := range news.Found {
 		d.link(vm)
 	}
@@ -133,18 +136,39 @@
 		if !d.config.IsState {
 			d.forwarder.PeerUp(now, vm, &d.forwardOut)
 		}
-		peer := d.peers.Peer(vm)
-		for _, n := range d.holder.Notices() {
-			if peer != nil && !peer.IsState && peer.DataCentre != n.Upstream.DataCentre {
-				continue
-			}
-			d.send(now, vm, &wire.Relay{Body: &wire.Relay_Report{Report: encodeNotice(&n)}})
-		}
+		d.untold[vm] = true
+		d.tell(now, vm)
 		h := d.heartbeat(now)
 		d.send(now, vm, &wire.Relay{Body: &wire.Relay_Pulse{Pulse: encodeHeartbeat(&h)}})
 	})
 }
 
+// tell sends a VM on a new link what it may have missed of upstreams, once it is known
+// what VM that is: a state VM all, an entry those of its data centre. Of entries only
+// what they hold themselves is of use to others.
+func (d *Conductor) tell(now time.Time, vm string) {
+	peer := d.peers.Peer(vm)
+	if !d.untold[vm] || peer == nil {
+		return
+	}
+	delete(d.untold, vm)
+	for _, n := range noticesFor(peer, d.config.IsState, d.holder.Notices()) {
+		d.send(now, vm, &wire.Relay{Body: &wire.Relay_Report{Report: encodeNotice(&n)}})
+	}
+}
+
+// noticesFor returns the notices that are of use to a VM on a new link.
+func noticesFor(peer *tracker.Peer, isState bool, notices []holder.Notice) []holder.Notice {
+	var list []holder.Notice
+	for _, n := range notices {
+		isOfUse := peer.IsState || peer.DataCentre == n.Upstream.DataCentre
+		if isOfUse && (isState || n.Holder != "") {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
 func (d *Conductor) sendState(vm string, m *wire.StateMessage) {
 	payload, err := proto.Marshal(m)
 	if err != nil {
--- a/internal/conductor/standin.go
+++ b/internal/conductor/standin.go
@@ -14,6 +14,9 @@
 	// entries, which may hear one, before it holds upstreams itself: a dial, and a
 	// heartbeat.
 	standInAfter = 150 * time.Millisecond
+	// witnessKeep is how long links between entries are kept once state VMs are
+	// heard again: trouble often comes back at once.
+	witnessKeep = 2 * time.Second
 	// firstHearing is how long an entry that has started waits for a first word of
 	// a state VM: after a loss of power these may start later, and without them the
 	// entry knows of no upstreams that another entry does not hold.
@@ -65,6 +68,33 @@
 	}
 }
 
+// dropWitnesses ends the links to entries that are not needed any more: both ends have
+// heard a state VM for a time.
+func (d *Conductor) dropWitnesses(now time.Time) {
+	if d.config.IsState || !d.peers.HearsStateVM(now) {
+		d.witnessedAt = now
+		return
+	}
+	if now.Sub(d.witnessedAt) < witnessKeep {
+		return
+	}
+	for _, vm := range unneededWitnesses(now, d.peers, d.config.Inner.String()) {
+		d.messenger.RemovePeer(vm)
+	}
+}
+
+// unneededWitnesses returns the entries that do not need this one to reach state VMs.
+func unneededWitnesses(now time.Time, peers *tracker.Tracker, self string) []string {
+	var list []string
+	for _, p := range peers.Entries() {
+		needsUs := peers.IsDirect(now, p.VM) && !p.HearsStateVM()
+		if p.VM != self && !needsUs {
+			list = append(list, p.VM)
+		}
+	}
+	return list
+}
+
 func (d *Conductor) hearsStateVM(now time.Time) bool {
 	for _, p := range d.peers.Heard(now) {
 		if p.IsState {
--- a/internal/conductor/standin_test.go
+++ b/internal/conductor/standin_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"bronzedrift.example/bronzedrift/internal/holder"
+	"bronzedrift.example/bronzedrift/internal/tracker"
 )
 
 func TestStandIn(t *testing.T) {
@@ -28,3 +31,43 @@
 		assert.True(t, a.allowsStandIn(at(firstHearing)))
 	})
 }
+
+// TestWitnesses answers the pattern in which many small entries lose sight of the state
+// VMs at the same moment: what they tell each other must not keep them busy.
+func TestWitnesses(t *testing.T) {
+	now := time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+	upstream := func(id, dataCentre, heldBy string) holder.Notice {
+		return holder.Notice{Upstream: holder.Upstream{ID: id, DataCentre: dataCentre}, Holder: heldBy}
+	}
+	notices := []holder.Notice{upstream("free", "a", ""), upstream("held", "a", "self"), upstream("other", "b", "self")}
+	entry := &tracker.Peer{Heartbeat: tracker.Heartbeat{VM: "entry", DataCentre: "a"}}
+	state := &tracker.Peer{Heartbeat: tracker.Heartbeat{VM: "state", DataCentre: "a", IsState: true}}
+	for name, c := range map[string]struct {
+		peer    *tracker.Peer
+		isState bool
+		want    []string
+	}{
+		"an entry tells an entry what it holds there": {entry, false, []string{"held"}},
+		"an entry tells a state VM all that it holds": {state, false, []string{"held", "other"}},
+		"a state VM tells an entry its data centre":   {entry, true, []string{"free", "held"}},
+		"a state VM tells a state VM all":             {state, true, []string{"free", "held", "other"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var ids []string
+			for _, n := range noticesFor(c.peer, c.isState, notices) {
+				ids = append(ids, n.Upstream.ID)
+			}
+			assert.Equal(t, c.want, ids)
+		})
+	}
+	t.Run("links to entries that hear state VMs themselves end", func(t *testing.T) {
+		peers := tracker.New("self")
+		neighbours := []tracker.Neighbour{{VM: "state", IsState: true}}
+		relayed := []tracker.Neighbour{{VM: "state", IsState: true, IsRelayed: true}}
+		for vm, heard := range map[string][]tracker.Neighbour{"hears": neighbours, "relayed": relayed, "hears-none": nil} {
+			peers.Hear(now, tracker.Heartbeat{VM: vm, Incarnation: "1", Neighbours: heard}, "")
+		}
+		assert.Equal(t, []string{"hears"}, unneededWitnesses(now, peers, "self"))
+		assert.Len(t, unneededWitnesses(now.Add(tracker.Silence), peers, "self"), 3, "silent ones need nothing")
+	})
+}
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -23,6 +23,7 @@
 	// dialled anew soon after it is back, at one packet for each try.
 	dialTimeout      = 150 * time.Millisecond
 	redialDelay      = 50 * time.Millisecond
+	redialMax        = 150 * time.Millisecond
 	heartbeat        = 250 * time.Millisecond
 	silenceTimeout   = time.Second
 	maxBatch         = 512
@@ -76,9 +77,11 @@
 
 // run dials the peer again and again and sends until the link breaks.
 func (l *link) run(ctx context.Context) {
+	delay := redialDelay
 	for ctx.Err() == nil {
 		stream, session, err := l.dial(ctx)
 		if err == nil {
+			delay = redialDelay
 			l.drainRing()
 			l.messenger.handlers.PeerUp(l.peer.VM)
 			l.pump(ctx, stream, session)
@@ -91,16 +94,18 @@
 		if refused := l.messenger.handlers.PeerRefused; refused != nil && errors.Is(err, syscall.ECONNREFUSED) {
 			refused(l.peer.VM)
 		}
-		l.pause(ctx)
+		delay = l.pause(ctx, delay)
 	}
 }
 
-func (l *link) pause(ctx context.Context) {
+func (l *link) pause(ctx context.Context, delay time.Duration) time.Duration {
 	select {
 	case <-ctx.Done():
 	case <-l.wake:
-	case <-time.After(redialDelay):
+		return redialDelay
+	case <-time.After(delay):
 	}
+	return min(2*delay, redialMax)
 }
 
 // drainRing drops what was queued for a session that has ended: the peer is
--- a/internal/tracker/route.go
+++ b/internal/tracker/route.go
@@ -14,7 +14,7 @@
 	if p.Via != "" && now.Sub(p.ViaAt) < Silence && t.IsDirect(now, p.Via) {
 		return p.Via
 	}
-	if !p.IsState || t.hearsStateVM(now) {
+	if !p.IsState || t.HearsStateVM(now) {
 		return ""
 	}
 	best := ""
@@ -36,8 +36,8 @@
 	return !p.DirectAt.IsZero() && now.Sub(p.DirectAt) < Silence
 }
 
-// hearsStateVM reports whether a state VM is heard directly.
-func (t *Tracker) hearsStateVM(now time.Time) bool {
+// HearsStateVM reports whether a state VM is heard directly.
+func (t *Tracker) HearsStateVM(now time.Time) bool {
 	for _, p := range t.peers {
 		if p.IsState && t.isDirect(now, p) {
 			return true
@@ -46,6 +46,16 @@
 	return false
 }
 
+// HearsStateVM reports whether a VM has said last that it hears a state VM directly.
+func (p *Peer) HearsStateVM() bool {
+	for _, n := range p.Neighbours {
+		if n.IsState && !n.IsRelayed {
+			return true
+		}
+	}
+	return false
+}
+
 // hears reports whether a VM has said last that it hears another one directly.
 func (p *Peer) hears(vm string) bool {
 	for _, n := range p.Neighbours {
