--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -199,7 +199,7 @@
 func (h *Holder) tendRun(now time.Time, u *held, r *run) {
 	limit := r.expected*stragglerFactor + stragglerSlack
 	switch {
-	case r.state == starting && h.isSteady && now.Sub(r.sentAt) > startPatience:
+	case r.state == starting && h.isSteady && now.Sub(r.sentAt) > h.patience.limit():
 		h.doubtStart(now, u, r, "no answer yet")
 	case r.state == doubtful && !r.stopOut:
 		h.stop(now, u, r)
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -54,6 +54,7 @@
 	// before it.
 	tickAt   time.Time
 	isSteady bool
+	patience patience
 	assignAt time.Time
 	noticeAt time.Time
 	out      *Effects
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -161,6 +161,29 @@
 	t.Fatal("not started elsewhere")
 }
 
+// TestPatienceFollowsAnswers answers the pattern in which a VM has more to do than it
+// can: it reads answers late, and must not stop runs that have started.
+func TestPatienceFollowsAnswers(t *testing.T) {
+	var p patience
+	assert.Equal(t, startPatience, p.limit())
+	for range 50 {
+		p.observe(2 * time.Millisecond)
+	}
+	assert.Equal(t, startPatience, p.limit(), "usual answers")
+	for i := range 20 {
+		p.observe(time.Duration(20+10*(i%5)) * time.Millisecond)
+	}
+	assert.Greater(t, p.limit(), 60*time.Millisecond, "answers take up to 60 ms")
+	for range 20 {
+		p.observe(300 * time.Millisecond)
+	}
+	assert.Equal(t, startTimeout, p.limit())
+	for range 50 {
+		p.observe(2 * time.Millisecond)
+	}
+	assert.Equal(t, startPatience, p.limit(), "usual answers again")
+}
+
 // TestHolderWithoutEntries holds that a VM which hears no entry leaves upstreams to
 // those that may: nobody can hand it a job.
 func TestHolderWithoutEntries(t *testing.T) {
--- a/internal/holder/results.go
+++ b/internal/holder/results.go
@@ -54,6 +54,9 @@
 }
 
 func (h *Holder) startResult(now time.Time, u *held, result *CallResult) {
+	if result.Status != CallUnanswered && result.Status != CallNotSent {
+		h.patience.observe(now.Sub(result.Call.SentAt))
+	}
 	r := u.runs[runKey{result.Call.Task, result.Call.Run}]
 	if r == nil || r.state != starting && r.state != doubtful {
 		return
--- a/internal/holder/timing.go
+++ b/internal/holder/timing.go
@@ -47,8 +47,8 @@
 	// doubtLimit is how long leases are renewed beside a run whose stop is not
 	// confirmed: two lost stops.
 	doubtLimit = 200 * time.Millisecond
-	// startPatience is how long the answer to a start may take: many round trips, and
-	// short enough for a task of 60 ms to be on time elsewhere.
+	// startPatience is how long the answer to a start may take at least: many round
+	// trips, and short enough for a task of 60 ms to be on time elsewhere.
 	startPatience = 30 * time.Millisecond
 	// steadyTick is the pause between two looks at the clock up to which answers
 	// that have come were read in between.
