A withdrawal is not lost on a change of way, and a lost holder is waited for from when it was found lost

Three causes, all mended: the withdrawal was not repeated once the direct way was open; the wait counted from when the holder was last heard, though the holder may have heard the entry longer; a heartbeat that came late counted from its arrival. Now relayed withdrawals are repeated each 0.1 s and at once on the direct way; the wait counts from when the loss is found; liveness counts from the time of sending.

Also: an entry whose order is refused since a former try of the job, from another entry, is ending tells its caller that something may have run (502), no longer that nothing has (503).

TestShortChainIsFound plants a wait of zero, since the former plant became longer than the lease by this change; the check is as before.

--- a/internal/conductor/receive.go
+++ b/internal/conductor/receive.go
@@ -91,7 +91,8 @@
 		d.holder.HolderLost(from)
 	}
 	if !h.IsState {
-		d.holder.Hear(now, from, incarnation, &d.holderOut)
+		// The chain of leases counts from when the heartbeat was sent.
+		d.holder.Hear(now.Add(-delay), from, incarnation, &d.holderOut)
 	}
 	if h.Configuration > d.version.Load() {
 		d.keeper.Want(from)
@@ -124,7 +125,7 @@
 		d.holder.SubmitUnlessNew(now, from, o, "this VM is behind with its work", &d.holderOut)
 		return
 	}
-	d.holder.Hear(now, from, incarnation, &d.holderOut)
+	d.holder.Hear(now.Add(-delay), from, incarnation, &d.holderOut)
 	d.holder.Submit(now, from, o, &d.holderOut)
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -99,19 +99,23 @@
 	tried      []string
 	leastWait  time.Duration
 	leastVM    string
-	// lostAt is when the holder was last heard before it was lost.
-	lostAt  time.Time
-	sentAt  time.Time
-	resends int
-	done    bool
+	// lostAt is when the holder was found to be lost.
+	lostAt time.Time
+	sentAt time.Time
+	// isRelayed says that the order went over a third VM last.
+	isRelayed bool
+	resends   int
+	done      bool
 }
 
 // withdrawal is a part that a holder was told to give up.
 type withdrawal struct {
 	to     string
 	cancel Cancel
-	// nextAt is when it is repeated on a way over a third VM, until when at all.
-	nextAt, until time.Time
+	// isRelayed says that it went over a third VM last, and may be lost.
+	isRelayed bool
+	sentAt    time.Time
+	until     time.Time
 }
 
 type sentLoad struct {
@@ -129,9 +133,11 @@
 	// cancelRepeats and cancelEvery cover a link that is opened anew.
 	cancelRepeats = 3
 	cancelEvery   = 400 * time.Millisecond
-	// repeatEvery is how often a message is sent again over a third VM, which does
-	// not tell when it loses one.
-	repeatEvery = 400 * time.Millisecond
+	// repeatEvery is how often an order is sent again that went over a third VM, which
+	// does not tell when it loses one, and repeatWithdrawalEvery a withdrawal, for
+	// which the chain of leases does not wait.
+	repeatEvery           = 400 * time.Millisecond
+	repeatWithdrawalEvery = 100 * time.Millisecond
 	// maxResends bounds how often a job is given to another holder after the
 	// former one was lost.
 	maxResends = 2
@@ -245,7 +251,7 @@
 	waited := now.Sub(p.job.arrivedAt)
 	o.Remaining = p.job.order.Remaining - waited
 	o.Objective = max(p.job.order.Objective-waited, time.Millisecond)
-	p.sentAt = now
+	p.sentAt, p.isRelayed = now, f.peers.Route(now, p.to) != ""
 	f.countSent(p.to, o.MilliCores())
 	f.decide(holder.Decision{Event: "job-forwarded", Job: o.ID, Request: o.Request, Peer: p.to, Run: o.Attempt, Wait: waited})
 	f.out.Sends = append(f.out.Sends, Send{To: p.to, Order: &o})
@@ -303,6 +309,7 @@
 		if !isCurrent {
 			return
 		}
+		j.started = j.started || a.Started
 		if p.leastVM == "" || a.Wait < p.leastWait {
 			p.leastVM, p.leastWait = from, a.Wait
 		}
@@ -409,19 +416,22 @@
 	if p.to != "" && len(p.tried) > 0 {
 		w := withdrawal{
 			to: p.to, cancel: Cancel{ID: p.order.ID, Part: p.order.Part, Attempt: p.order.Attempt},
-			nextAt: now.Add(repeatEvery), until: now.Add(f.timing.Chain()),
+			until: now.Add(f.timing.Chain()),
 		}
+		f.sendWithdrawal(now, &w)
 		f.withdrawn = append(f.withdrawn, w)
-		f.sendWithdrawal(&w)
 	}
 }
 
-func (f *Forwarder) sendWithdrawal(w *withdrawal) {
+func (f *Forwarder) sendWithdrawal(now time.Time, w *withdrawal) {
 	c := w.cancel
+	w.sentAt, w.isRelayed = now, f.peers.Route(now, w.to) != ""
 	f.out.Sends = append(f.out.Sends, Send{To: w.to, Cancel: &c})
 }
 
-// repeatWithdrawals sends again what may have been lost on the way over a third VM.
+// repeatWithdrawals sends again what may have been lost on the way over a third VM: at
+// once where the direct way is open again, since heartbeats on it keep the holder from
+// giving the job up by itself.
 func (f *Forwarder) repeatWithdrawals(now time.Time) {
 	left := f.withdrawn[:0]
 	for i := range f.withdrawn {
@@ -429,9 +439,8 @@
 		if now.After(w.until) {
 			continue
 		}
-		if !now.Before(w.nextAt) && f.peers.Route(now, w.to) != "" {
-			f.sendWithdrawal(&w)
-			w.nextAt = now.Add(repeatEvery)
+		if w.isRelayed && (f.peers.IsDirect(now, w.to) || now.Sub(w.sentAt) >= repeatWithdrawalEvery) {
+			f.sendWithdrawal(now, &w)
 		}
 		left = append(left, w)
 	}
@@ -468,7 +477,7 @@
 	}
 	for i := range f.withdrawn {
 		if w := &f.withdrawn[i]; w.to == vm && !now.After(w.until) {
-			f.sendWithdrawal(w)
+			f.sendWithdrawal(now, w)
 		}
 	}
 }
@@ -515,12 +524,12 @@
 	peer := f.peers.Peer(p.to)
 	if p.lostAt.IsZero() {
 		if peer != nil && f.peers.IsHeard(now, p.to) && peer.Incarnation == p.toLife {
-			if now.Sub(p.sentAt) >= repeatEvery && f.peers.Route(now, p.to) != "" {
+			if p.isRelayed && now.Sub(p.sentAt) >= repeatEvery {
 				f.send(now, p)
 			}
 			return
 		}
-		f.lose(now, p, peer)
+		f.lose(now, p)
 		return
 	}
 	if now.After(p.lostAt.Add(f.timing.Chain())) {
@@ -529,13 +538,11 @@
 }
 
 // lose waits until nothing of a part can run at a holder that is not heard, or
-// answers at once if no time would be left then.
-func (f *Forwarder) lose(now time.Time, p *part, peer *tracker.Peer) {
+// answers at once if no time would be left then. The holder may have heard this VM's
+// heartbeats until now.
+func (f *Forwarder) lose(now time.Time, p *part) {
 	j := p.job
 	p.lostAt = now
-	if peer != nil && peer.Incarnation == p.toLife && !peer.HeardAt.IsZero() {
-		p.lostAt = peer.HeardAt
-	}
 	j.started = true
 	f.decide(holder.Decision{Event: "holder-lost", Job: j.order.ID, Request: j.order.Request, Peer: p.to, IsFault: true})
 	f.withdraw(now, p)
--- a/internal/forwarder/world_test.go
+++ b/internal/forwarder/world_test.go
@@ -164,6 +164,7 @@
 	timing := holder.DefaultTiming()
 	if w.chainShortened {
 		timing.Silence, timing.Lease, timing.CallTimeout = 0, 0, 0
+		timing.Silence = -timing.Chain()
 	}
 	e.forwarder = New(e.dataCentre, timing, e.peers)
 	e.waiting = map[uint64]string{}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -98,10 +98,14 @@
 	}
 }
 
-// Hear notes that an entry is alive. Jobs of an earlier life of it are given up.
+// Hear notes that an entry was alive at a time, when it has sent what has come now.
+// Jobs of an earlier life of it are given up.
 func (h *Holder) Hear(now time.Time, vm, incarnation string, out *Effects) {
 	h.out = out
 	e := h.entries[vm]
+	if e != nil && e.incarnation == incarnation && now.Before(e.heardAt) {
+		return
+	}
 	if e != nil && e.incarnation != incarnation {
 		h.abandon(now, vm, "the entry has restarted")
 		maps.DeleteFunc(h.withdrawn, func(_ Key, w withdrawal) bool { return w.entry == vm })
--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -49,7 +49,8 @@
 		h.giveUp(now, j, Answer{Outcome: Lost, Reason: "another entry has sent the job"})
 	}
 	h.out.Replies = append(h.out.Replies, Reply{entryVM, Answer{
-		ID: o.ID, Part: o.Part, Attempt: o.Attempt, Outcome: Busy, Wait: h.config.Timing.StopTime, Reason: "a former try is ending",
+		ID: o.ID, Part: o.Part, Attempt: o.Attempt, Outcome: Busy, Started: j.started, Wait: h.config.Timing.StopTime,
+		Reason: "a former try is ending",
 	}})
 }
 
--- a/internal/holder/order.go
+++ b/internal/holder/order.go
@@ -92,7 +92,7 @@
 	Failed
 	// Cancelled says that the caller gave the job up.
 	Cancelled
-	// Busy says that nothing has started, and that it would take too long.
+	// Busy says that nothing of this order has started, and that it would take too long.
 	Busy
 	// Lost says that the job was given up here, and that nothing of it runs.
 	Lost
