A caller is not told that nothing has run while another part of its job may have

Cause: a job was split over three holders; one, an entry that stood in, gave its part up unstarted, no time was left to send it elsewhere, and the answer looked at that part alone: 503, nothing has run, though another part had. The way for parts that are refused did look at the others; both now share one function.

TestOtherPartHasRun fails without (not-run in place of unknown).

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -263,21 +263,21 @@
 	if p.leastVM == "" {
 		wait = noHolderWait
 	}
-	result := NotRun
-	if p.job.started || p.job.hasSentOthers(p) {
-		result = Unknown
-	}
-	f.end(now, p.job, Response{Result: result, RetryAfter: wait, Reason: "no holder can serve the job in time"})
+	f.end(now, p.job, Response{Result: p.unserved(), RetryAfter: wait, Reason: "no holder can serve the job in time"})
 }
 
-// hasSentOthers reports whether other parts may have started.
-func (j *job) hasSentOthers(p *part) bool {
-	for _, other := range j.parts {
+// unserved is what the caller of a job is told of which this part is not served: that
+// nothing has run only if neither this part nor another one may have started.
+func (p *part) unserved() Result {
+	if p.job.started {
+		return Unknown
+	}
+	for _, other := range p.job.parts {
 		if other != p && len(other.tried) > 0 {
-			return true
+			return Unknown
 		}
 	}
-	return false
+	return NotRun
 }
 
 // Answer takes what a holder says of a part of a job.
@@ -329,7 +329,7 @@
 	end := now.Add(j.order.Chain())
 	isUseless := end.After(j.arrivedAt.Add(holder.LateFactor*j.order.Objective)) || end.After(j.arrivedAt.Add(j.order.Remaining))
 	if p.resends > maxResends || isUseless {
-		f.giveUp(now, j, "its holder was lost")
+		f.giveUp(now, p, "its holder was lost")
 		return
 	}
 	f.decide(holder.Decision{Event: "job-resent", Job: j.order.ID, Request: j.order.Request, Peer: p.to, IsFault: true})
@@ -339,13 +339,9 @@
 	f.forward(now, p)
 }
 
-// giveUp answers a job whose holder was lost.
-func (f *Forwarder) giveUp(now time.Time, j *job, reason string) {
-	result := Unknown
-	if !j.started {
-		result = NotRun
-	}
-	f.end(now, j, Response{Result: result, RetryAfter: f.timing.Chain(), Reason: reason})
+// giveUp answers a job of which a part was lost with its holder.
+func (f *Forwarder) giveUp(now time.Time, p *part, reason string) {
+	f.end(now, p.job, Response{Result: p.unserved(), RetryAfter: f.timing.Chain(), Reason: reason})
 }
 
 // end tells all callers of a job, gives up what is left of it, and forgets it.
@@ -548,6 +544,6 @@
 	f.withdraw(now, p)
 	end := p.lostAt.Add(f.timing.Chain() + j.order.Chain())
 	if end.After(j.arrivedAt.Add(min(holder.LateFactor*j.order.Objective, j.order.Remaining))) {
-		f.giveUp(now, j, "its holder is not within reach")
+		f.giveUp(now, p, "its holder is not within reach")
 	}
 }
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -39,3 +39,31 @@
 	require.Len(t, out.Responses, 1)
 	assert.Equal(t, Completed, out.Responses[0].Result)
 }
+
+// TestOtherPartHasRun holds that a caller is not told that nothing has run when the part
+// that is given up has not started, while another one may have.
+func TestOtherPartHasRun(t *testing.T) {
+	now := time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+	peers := tracker.New("entry")
+	for _, vm := range []string{"one", "two"} {
+		beat := holderBeat()
+		beat.VM = vm
+		for i := range beat.Load.Places {
+			beat.Load.Places[i] = 2
+		}
+		peers.Hear(now, beat, "")
+	}
+	f := New("a", holder.DefaultTiming(), peers)
+	var out Effects
+	f.Submit(now, holder.Order{
+		ID: "j", Service: "s", Objective: 200 * time.Millisecond, Remaining: 5 * time.Second,
+		Steps: []holder.Step{{Count: 4, Needs: holder.Capacity{MilliCores: 1000}, Estimate: 100 * time.Millisecond}},
+	}, 1, &out)
+	require.Len(t, out.Sends, 2, "two parts")
+	lost := out.Sends[1]
+	f.Answer(now.Add(600*time.Millisecond), lost.To, holder.Answer{
+		ID: "j", Part: lost.Order.Part, Attempt: lost.Order.Attempt, Outcome: holder.Lost,
+	}, &out)
+	require.Len(t, out.Responses, 1)
+	assert.Equal(t, Unknown, out.Responses[0].Result)
+}
--- a/internal/forwarder/splitter.go
+++ b/internal/forwarder/splitter.go
@@ -58,13 +58,17 @@
 	return list
 }
 
-// choose returns the best holder for a part, empty if there is none.
+// choose returns the best holder for a part, empty if there is none. Once one has
+// refused it, those are left out that would refuse it by their last heartbeat: in a rush
+// each order that is looked at in vain takes time from the others.
 func (f *Forwarder) choose(now time.Time, p *part) string {
 	list := f.candidates(now, &p.order, p.order.Steps[0].Count, p.tried)
-	if len(list) == 0 {
-		return ""
+	for _, c := range list {
+		if len(p.tried) == 0 || p.order.IsUrgent() || c.wait+p.order.Chain() <= p.order.Objective {
+			return c.vm
+		}
 	}
-	return list[0].vm
+	return ""
 }
 
 // splitShare is the least share of a job's tasks for which there are places now, in
--- a/internal/holder/order.go
+++ b/internal/holder/order.go
@@ -29,6 +29,9 @@
 	Force bool
 }
 
+// IsUrgent reports whether the job goes before those of other priorities.
+func (o *Order) IsUrgent() bool { return o.Priority == 0 }
+
 // Key names a part of a job.
 func (o *Order) Key() Key { return Key{o.ID, o.Part} }
 
--- a/internal/holder/place.go
+++ b/internal/holder/place.go
@@ -37,15 +37,12 @@
 		return a.started
 	case aLate != bLate:
 		return bLate
-	case isUrgent(a.Priority) != isUrgent(b.Priority):
-		return isUrgent(a.Priority)
+	case a.IsUrgent() != b.IsUrgent():
+		return a.IsUrgent()
 	}
 	return aStart.Before(bStart)
 }
 
-// isUrgent reports whether a priority goes before all others.
-func isUrgent(priority int) bool { return priority == 0 }
-
 // shapes are the smallest tasks that found no place in a round, by service and
 // label: no larger one finds any.
 type shapes map[shape]Capacity
@@ -242,7 +239,7 @@
 // expectedWait is how long an order would wait for places here: none if all its
 // first tasks fit now and nothing waits before them.
 func (h *Holder) expectedWait(now time.Time, o *Order) time.Duration {
-	wait := h.waitFor(now, func(j *job) bool { return !isUrgent(o.Priority) || isUrgent(j.Priority) })
+	wait := h.waitFor(now, func(j *job) bool { return !o.IsUrgent() || j.IsUrgent() })
 	free := int64(0)
 	for _, u := range h.upstreams {
 		if u.isAtHand(now) && u.Service == o.Service {
