A compaction no longer drops committed changes of the same batch

Cause: applyEntry compacted inside the loop over the commits of one batch, while the replica already counts the whole batch as applied. Ruled out: the commit index, which is saved before; single entries restart correctly. Before: 998 single changes and a batch of five came back as version 1000 instead of 1003; 1 and a batch of 2,007 as version 1000 instead of 2008. After: both complete.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -304,6 +304,9 @@
 	for i := range out.Commits {
 		k.applyEntry(&out.Commits[i])
 	}
+	// The replica counts the whole batch as applied, so that a snapshot must not be taken
+	// before the last entry of it.
+	k.compactIfDue()
 	k.activate(k.stateMachine.Current())
 	for _, number := range out.ReadyReads {
 		k.replyRead(number)
@@ -358,10 +361,6 @@
 		}
 	}
 	k.appliedSinceCompaction++
-	if k.appliedSinceCompaction >= entriesPerCompaction {
-		k.appliedSinceCompaction = 0
-		k.compact()
-	}
 }
 
 func (k *Keeper) applyChange(e *replicator.Entry) {
@@ -378,7 +377,12 @@
 	}
 }
 
-func (k *Keeper) compact() {
+// compactIfDue replaces the applied entries by a snapshot once enough were applied.
+func (k *Keeper) compactIfDue() {
+	if k.appliedSinceCompaction < entriesPerCompaction {
+		return
+	}
+	k.appliedSinceCompaction = 0
 	state, err := k.stateMachine.Snapshot()
 	if err != nil {
 		panic(err)
