Malformed messages and unexpected errors no longer end a process

Cause: suture passes panics through, so that one panic in the goroutine of the decisions or of the replicated log ended the process and everything it served. Ruled out: handlers of callers and operators, whose panics net/http recovers. Change: messages of the log are validated before the replica sees them, entries that cannot be decoded are skipped by all replicas alike, figures of orders, notices, answers, reports and jobs are bounded when they are decoded.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -112,6 +112,7 @@
 	forwarderEffects  forwarder.Effects
 	metrics           metrics
 	budget            *recorder.Budget
+	guard             supervisor.Guard
 }
 
 // session tracks the message delay of one inbound session.
@@ -323,14 +324,27 @@
 		}
 		now := d.now()
 		d.checkStall(now)
-		input(now)
+		d.handleInput(now, input)
+	}
+}
+
+// handleInput runs one input, and the messages that it causes between the forwarder and
+// the holder of this VM. A panic drops the rest of the input. What was decided before it
+// is still sent, since the state already counts on it.
+func (d *Conductor) handleInput(now time.Time, input func(time.Time)) {
+	d.runGuarded(now, input)
+	d.applyEffects(now)
+	for len(d.localMessages) > 0 {
+		message := d.localMessages[0]
+		d.localMessages = d.localMessages[1:]
+		d.runGuarded(now, message)
 		d.applyEffects(now)
-		for len(d.localMessages) > 0 {
-			message := d.localMessages[0]
-			d.localMessages = d.localMessages[1:]
-			message(now)
-			d.applyEffects(now)
-		}
+	}
+}
+
+func (d *Conductor) runGuarded(now time.Time, input func(time.Time)) {
+	if err := d.guard.Run(now, func() { input(now) }); err != nil {
+		d.recordEvent(recorder.Event{Number: recorder.InputPanicked, Text: err.Error(), Task: recorder.NoTask})
 	}
 }
 
--- a/internal/conductor/decoder.go
+++ b/internal/conductor/decoder.go
@@ -26,7 +26,7 @@
 	if l := w.GetLoad(); l != nil {
 		h.Load = holder.Load{
 			FreeMilliCores: l.GetFreeMilliCores(), TotalMilliCores: l.GetTotalMilliCores(),
-			Backlog: time.Duration(l.GetBacklog()), Racks: l.GetRacks(), Pending: map[string]int{},
+			Backlog: max(0, time.Duration(l.GetBacklog())), Racks: l.GetRacks(), Pending: map[string]int{},
 		}
 		for _, n := range l.GetPlaces() {
 			h.Load.FreeSlots = append(h.Load.FreeSlots, int(n))
@@ -41,7 +41,7 @@
 func decodeNeighbour(n *wire.Neighbour) tracker.Neighbour {
 	return tracker.Neighbour{
 		VM: n.GetVm(), Incarnation: n.GetIncarnation(), DataCentre: n.GetDataCentre(),
-		HeartbeatAge: time.Duration(n.GetHeardAgo()), IsLeaving: n.GetLeaving(), IsState: n.GetIsState(),
+		HeartbeatAge: max(0, time.Duration(n.GetHeardAgo())), IsLeaving: n.GetLeaving(), IsState: n.GetIsState(),
 		IsRelayed: n.GetRelayed(),
 	}
 }
@@ -53,14 +53,22 @@
 		Remaining: time.Duration(w.GetRemaining()), Priority: int(w.GetPriority()), AcceptLate: w.GetAcceptLate(),
 		Part: int(w.GetPart()), First: int(w.GetFirst()), Force: w.GetForce(),
 	}
+	tasks := uint64(0)
 	for i, s := range w.GetSteps() {
+		if tasks += uint64(s.GetCount()); s.GetCount() == 0 || tasks > holder.MaxTasks {
+			return o, fmt.Errorf("%w: step %d of an order has no tasks or too many", ErrInvalidMessage, i)
+		}
+		needs := holder.Capacity{MilliCores: s.GetMilliCores(), MemoryMB: s.GetMemoryMb(), Accelerators: s.GetAccelerators()}
+		if !needs.IsValid() || s.GetEstimate() < 0 || s.GetEstimate() > int64(holder.MaxEstimate) {
+			return o, fmt.Errorf("%w: a figure of step %d is out of range", ErrInvalidMessage, i)
+		}
 		step := holder.Step{
 			Count:    int(s.GetCount()),
-			Needs:    holder.Capacity{MilliCores: s.GetMilliCores(), MemoryMB: s.GetMemoryMb(), Accelerators: s.GetAccelerators()},
+			Needs:    needs,
 			Estimate: time.Duration(s.GetEstimate()), Label: s.GetLabel(), DataRack: s.GetDataRack(), PerUpstream: int(s.GetPerUpstream()),
 		}
 		for _, a := range s.GetAfter() {
-			if int(a) >= i {
+			if uint64(a) >= uint64(i) {
 				return o, fmt.Errorf("%w: step %d comes after step %d", ErrInvalidMessage, i, a)
 			}
 			step.After = append(step.After, int(a))
@@ -73,12 +81,16 @@
 	return o, nil
 }
 
-func decodeAnswer(w *wire.JobAnswer) holder.Answer {
-	return holder.Answer{
+func decodeAnswer(w *wire.JobAnswer) (holder.Answer, error) {
+	a := holder.Answer{
 		ID: w.GetId(), Attempt: int(w.GetAttempt()), Outcome: holder.Outcome(w.GetOutcome()),
-		Started: w.GetStarted(), Wait: time.Duration(w.GetWait()), Reason: w.GetReason(),
+		Started: w.GetStarted(), Wait: max(0, time.Duration(w.GetWait())), Reason: w.GetReason(),
 		Part: int(w.GetPart()),
 	}
+	if a.Outcome < holder.Completed || a.Outcome > holder.Lost {
+		return a, fmt.Errorf("%w: outcome %d of job %q", ErrInvalidMessage, a.Outcome, a.ID)
+	}
+	return a, nil
 }
 
 func decodeCancel(w *wire.JobCancel) forwarder.Cancel {
@@ -90,11 +102,16 @@
 	if err != nil {
 		return holder.Notice{}, fmt.Errorf("%w: upstream %q: %w", ErrInvalidMessage, w.GetId(), err)
 	}
+	state := holder.State(w.GetState())
+	capacity := holder.Capacity{MilliCores: w.GetMilliCores(), MemoryMB: w.GetMemoryMb(), Accelerators: w.GetAccelerators()}
+	if w.GetId() == "" || state < holder.Ready || state > holder.Gone || !capacity.IsValid() {
+		return holder.Notice{}, fmt.Errorf("%w: upstream %q: id, state or capacity", ErrInvalidMessage, w.GetId())
+	}
 	return holder.Notice{
 		Upstream: holder.Upstream{
 			ID: w.GetId(), Service: w.GetService(), Address: address, DataCentre: w.GetDataCentre(), Rack: w.GetRack(),
-			Labels: w.GetLabels(), State: holder.State(w.GetState()), StartedAt: decodeTime(w.GetBorn()), Sequence: w.GetSequence(),
-			Capacity: holder.Capacity{MilliCores: w.GetMilliCores(), MemoryMB: w.GetMemoryMb(), Accelerators: w.GetAccelerators()},
+			Labels: w.GetLabels(), State: state, StartedAt: decodeTime(w.GetBorn()), Sequence: w.GetSequence(),
+			Capacity: capacity,
 			Clock:    time.Duration(w.GetClock()),
 		},
 		Holder: w.GetHolder(), Token: w.GetToken(),
--- /dev/null
+++ b/internal/conductor/decoder_test.go
@@ -0,0 +1,70 @@
+package conductor
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"bronzedrift.example/bronzedrift/internal/holder"
+	"bronzedrift.example/bronzedrift/internal/messenger/wire"
+)
+
+func validOrder() *wire.JobOrder {
+	return &wire.JobOrder{Id: "1", Steps: []*wire.JobStep{{Count: 2, MilliCores: 500, Estimate: int64(time.Second)}, {Count: 1, After: []uint32{0}}}}
+}
+
+// Figures of another VM that are out of range must neither exhaust the memory nor overflow.
+func TestDecodeOrderChecksFigures(t *testing.T) {
+	_, err := decodeOrder(validOrder())
+	require.NoError(t, err)
+	for name, change := range map[string]func(o *wire.JobOrder){
+		"no id":              func(o *wire.JobOrder) { o.Id = "" },
+		"no steps":           func(o *wire.JobOrder) { o.Steps = nil },
+		"no tasks":           func(o *wire.JobOrder) { o.Steps[0].Count = 0 },
+		"too many tasks":     func(o *wire.JobOrder) { o.Steps[0].Count = math.MaxUint32 },
+		"too many in all":    func(o *wire.JobOrder) { o.Steps[0].Count, o.Steps[1].Count = holder.MaxTasks, 1 },
+		"negative need":      func(o *wire.JobOrder) { o.Steps[0].MilliCores = -1 },
+		"endless need":       func(o *wire.JobOrder) { o.Steps[0].MemoryMb = math.MaxInt64 },
+		"negative estimate":  func(o *wire.JobOrder) { o.Steps[0].Estimate = -1 },
+		"endless estimate":   func(o *wire.JobOrder) { o.Steps[0].Estimate = math.MaxInt64 },
+		"after itself":       func(o *wire.JobOrder) { o.Steps[1].After = []uint32{1} },
+		"after unknown step": func(o *wire.JobOrder) { o.Steps[1].After = []uint32{math.MaxUint32} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := validOrder()
+			change(o)
+			_, err := decodeOrder(o)
+			assert.ErrorIs(t, err, ErrInvalidMessage)
+		})
+	}
+}
+
+func TestDecodeNoticeChecksFigures(t *testing.T) {
+	valid := func() *wire.UpstreamReport {
+		return &wire.UpstreamReport{Id: "u", Address: "10.0.0.1:1", State: int32(holder.Ready), MilliCores: 1000}
+	}
+	_, err := decodeNotice(valid())
+	require.NoError(t, err)
+	for name, change := range map[string]func(r *wire.UpstreamReport){
+		"no id":             func(r *wire.UpstreamReport) { r.Id = "" },
+		"no address":        func(r *wire.UpstreamReport) { r.Address = "" },
+		"unknown state":     func(r *wire.UpstreamReport) { r.State = 99 },
+		"no state":          func(r *wire.UpstreamReport) { r.State = 0 },
+		"negative capacity": func(r *wire.UpstreamReport) { r.MilliCores = -1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := valid()
+			change(r)
+			_, err := decodeNotice(r)
+			assert.ErrorIs(t, err, ErrInvalidMessage)
+		})
+	}
+}
+
+// A VM whose heartbeat is said to be younger than now would stay alive after its end.
+func TestDecodeNeighbourAge(t *testing.T) {
+	assert.Zero(t, decodeNeighbour(&wire.Neighbour{HeardAgo: -int64(time.Hour)}).HeartbeatAge)
+}
--- a/internal/conductor/receive.go
+++ b/internal/conductor/receive.go
@@ -57,7 +57,12 @@
 		c := decodeCancel(b.Cancel)
 		d.cancel(now, from, c)
 	case *wire.Relay_Answer:
-		d.forwarder.Answer(now, from, decodeAnswer(b.Answer), &d.forwarderEffects)
+		answer, err := decodeAnswer(b.Answer)
+		if err != nil {
+			d.recordInvalidMessage(from, err)
+			return
+		}
+		d.forwarder.Answer(now, from, answer, &d.forwarderEffects)
 	case *wire.Relay_Report:
 		notice, err := decodeNotice(b.Report)
 		if err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,6 +36,7 @@
 	now            func() time.Time
 	eventRing      *recorder.Ring
 	disp           *dispatcher.Dispatcher
+	guard          supervisor.Guard
 	messenger      *messenger.Messenger
 	sender         *sender.Sender
 	listener       *listener.Listener
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -50,7 +50,9 @@
 func (d *Daemon) handle(ctx context.Context, in *dispatcher.Input, out *dispatcher.Effects) {
 	now := d.now()
 	out.Reset()
-	d.disp.Handle(now, in, out)
+	if err := d.guard.Run(now, func() { d.disp.Handle(now, in, out) }); err != nil {
+		d.recordAt(now, recorder.Event{Number: recorder.InputPanicked, Text: err.Error(), Task: recorder.NoTask})
+	}
 	for i := range out.Events {
 		d.recordAt(now, out.Events[i])
 	}
--- a/internal/holder/order.go
+++ b/internal/holder/order.go
@@ -30,6 +30,16 @@
 	Force bool
 }
 
+// Bounds of an order. They keep sums of its figures within their types.
+const (
+	// MaxTasks is the maximum number of tasks of a job.
+	MaxTasks = 10_000
+	// MaxCapacity is the maximum of each figure of a Capacity.
+	MaxCapacity = 1_000_000_000
+	// MaxEstimate is the maximum estimated run time of a task.
+	MaxEstimate = 24 * time.Hour
+)
+
 // IsUrgent reports whether the job has the highest priority.
 func (o *Order) IsUrgent() bool { return o.Priority == 0 }
 
--- a/internal/holder/upstream.go
+++ b/internal/holder/upstream.go
@@ -19,6 +19,16 @@
 	Accelerators int64
 }
 
+// IsValid reports whether no figure is negative or above MaxCapacity.
+func (c Capacity) IsValid() bool {
+	for _, n := range []int64{c.MilliCores, c.MemoryMB, c.Accelerators} {
+		if n < 0 || n > MaxCapacity {
+			return false
+		}
+	}
+	return true
+}
+
 func (c Capacity) plus(o Capacity) Capacity {
 	return Capacity{c.MilliCores + o.MilliCores, c.MemoryMB + o.MemoryMB, c.Accelerators + o.Accelerators}
 }
--- a/internal/keeper/encoder.go
+++ b/internal/keeper/encoder.go
@@ -1,6 +1,8 @@
 package keeper
 
 import (
+	"fmt"
+
 	"bronzedrift.example/bronzedrift/internal/configurer"
 	"bronzedrift.example/bronzedrift/internal/messenger/wire"
 	"bronzedrift.example/bronzedrift/internal/replicator"
@@ -29,7 +31,9 @@
 	return w
 }
 
-func decodeMessage(w *wire.LogMessage) *replicator.Message {
+// decodeMessage decodes a message of another replica. It checks what the replica relies on,
+// and that a snapshot can be restored, before any of it is saved.
+func decodeMessage(w *wire.LogMessage) (*replicator.Message, error) {
 	m := &replicator.Message{
 		Kind: replicator.Kind(w.GetKind()), From: w.GetFrom(), FromVM: w.GetFromVm(), To: w.GetTo(), Term: w.GetTerm(),
 		Index: w.GetIndex(), LogTerm: w.GetLogTerm(), Commit: w.GetCommit(), Accepted: w.GetGranted(), Round: w.GetRound(),
@@ -39,6 +43,12 @@
 	}
 	if w.GetSnapshot() != nil {
 		m.Snapshot = storer.DecodeSnapshot(w.GetSnapshot())
+		if err := configurer.New().Restore(m.Snapshot.State); err != nil {
+			return nil, fmt.Errorf("keeper: snapshot %d: %w", m.Snapshot.Index, err)
+		}
+	}
+	if err := m.Validate(); err != nil {
+		return nil, fmt.Errorf("keeper: %w", err)
 	}
-	return m
+	return m, nil
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -16,6 +16,7 @@
 	"bronzedrift.example/bronzedrift/internal/recorder"
 	"bronzedrift.example/bronzedrift/internal/replicator"
 	"bronzedrift.example/bronzedrift/internal/storer"
+	"bronzedrift.example/bronzedrift/internal/supervisor"
 )
 
 // Config configures a Keeper.
@@ -80,6 +81,7 @@
 	nextStateVM            int
 	appliedSinceCompaction int
 	announcedAt            time.Time
+	guard                  supervisor.Guard
 }
 
 // input is one event for the Keeper's goroutine: a message and its sender, a newly
@@ -195,15 +197,37 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case in := <-k.inputs:
-			k.handle(in)
+			k.runGuarded(func() { k.handle(in) })
 		case <-ticker.C:
-			k.stepReplica(func(now time.Time, out *replicator.Effects) { k.replica.Tick(now, out) })
-			k.announceIfNotMember(k.config.Now())
-			k.maintainVoters(k.config.Now())
+			k.runGuarded(k.tick)
 		}
 	}
 }
 
+func (k *Keeper) tick() {
+	k.stepReplica(func(now time.Time, out *replicator.Effects) { k.replica.Tick(now, out) })
+	k.announceIfNotMember(k.config.Now())
+	k.maintainVoters(k.config.Now())
+}
+
+// runGuarded runs f. If it panics, the replica may be in an inconsistent state and starts
+// over from its disk, as after a restart of the process.
+func (k *Keeper) runGuarded(f func()) {
+	err := k.guard.Run(k.config.Now(), f)
+	if err == nil {
+		return
+	}
+	k.handlers.Event(recorder.Event{Number: recorder.InputPanicked, Text: err.Error(), Task: recorder.NoTask})
+	if k.config.Disk == nil {
+		return
+	}
+	k.stateMachine, k.snapshot, k.leaderCalls = configurer.New(), nil, map[uint64]*call{}
+	k.appliedSinceCompaction = 0
+	if err := k.open(); err != nil {
+		panic(err)
+	}
+}
+
 // Receive queues a message from another VM.
 func (k *Keeper) Receive(from string, m *wire.StateMessage) {
 	k.enqueue(input{from: from, message: m})
@@ -230,7 +254,11 @@
 	case in.connectedPeer != "":
 		k.sendStateTo(in.connectedPeer)
 	case in.message.GetLog() != nil:
-		m := decodeMessage(in.message.GetLog())
+		m, err := decodeMessage(in.message.GetLog())
+		if err != nil {
+			k.handlers.Event(recorder.Event{Number: recorder.LinkRefused, Peer: in.from, Text: err.Error(), Task: recorder.NoTask})
+			return
+		}
 		k.stepReplica(func(now time.Time, out *replicator.Effects) { k.replica.Handle(now, m, out) })
 	case in.message.GetRequest() != nil:
 		k.handleRequest(now, in.message.GetRequest())
@@ -366,7 +394,9 @@
 func (k *Keeper) applyChange(e *replicator.Entry) {
 	ch, err := configurer.DecodeChange(e.Payload)
 	if err != nil {
-		panic(err)
+		// All replicas skip the entry, so that their states stay the same.
+		k.handlers.Event(recorder.Event{Number: recorder.LinkRefused, Text: fmt.Sprintf("entry %d: %v", e.Index, err), Task: recorder.NoTask})
+		return
 	}
 	o := k.stateMachine.Apply(ch)
 	for number, c := range k.leaderCalls {
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -115,3 +115,78 @@
 		})
 	}
 }
+
+// A malformed message of another state VM must neither end the process nor change the state.
+func TestMalformedLogMessages(t *testing.T) {
+	for name, change := range map[string]func(m *wire.LogMessage){
+		"unknown kind":             func(m *wire.LogMessage) { m.Kind = 99 },
+		"term out of range":        func(m *wire.LogMessage) { m.Term = 1 << 63 },
+		"entry before the log":     func(m *wire.LogMessage) { m.Entries[0].Index = 0 },
+		"gap between entries":      func(m *wire.LogMessage) { m.Entries[1].Index += 5 },
+		"term of an entry falls":   func(m *wire.LogMessage) { m.Entries[1].Term = 0 },
+		"snapshot without content": func(m *wire.LogMessage) { m.Kind, m.Entries = int32(replicator.InstallSnapshot), nil },
+		"snapshot that is damaged": func(m *wire.LogMessage) {
+			m.Kind, m.Entries = int32(replicator.InstallSnapshot), nil
+			m.Snapshot = &wire.Snapshot{Index: 50, Term: 1, Members: []*wire.Member{{Id: "a#founder", Vm: "a", Voter: true}}, State: []byte{0xff}}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			disk := newDisk(t)
+			f := openFollower(t, disk)
+			entries := changes(t, 4)
+			f.append(entries[:2])
+			m := encodeMessage(&replicator.Message{
+				Kind: replicator.Append, From: "b#founder", FromVM: "b", To: f.identity, Term: 1,
+				Index: entries[1].Index, LogTerm: 1, Entries: entries[2:], Commit: entries[3].Index,
+			})
+			change(m)
+			f.handle(input{from: "b", message: &wire.StateMessage{Log: m}})
+			assert.EqualValues(t, 2, f.stateMachine.Current().Version)
+			assertRefused(t, f)
+			f.append(entries[2:])
+			assert.EqualValues(t, 4, f.stateMachine.Current().Version)
+			assertSameAfterRestart(t, f, disk)
+		})
+	}
+}
+
+func assertRefused(t *testing.T, f *testFollower) {
+	t.Helper()
+	for _, e := range f.events {
+		if e.Number == recorder.LinkRefused {
+			return
+		}
+	}
+	assert.Fail(t, "the message was not reported as refused")
+}
+
+// An entry that cannot be decoded is skipped by each replica in the same way.
+func TestUndecodableEntryIsSkipped(t *testing.T) {
+	disk := newDisk(t)
+	f := openFollower(t, disk)
+	entries := changes(t, 3)
+	damaged := replicator.Entry{Index: entries[2].Index, Term: 1, Payload: []byte{0xff}}
+	next := entries[2]
+	next.Index++
+	f.append(entries[:2])
+	f.append([]replicator.Entry{damaged, next})
+	assert.EqualValues(t, 3, f.stateMachine.Current().Version)
+	assertSameAfterRestart(t, f, disk)
+}
+
+// After a panic the replica resumes from its disk and goes on.
+func TestPanicRestartsReplica(t *testing.T) {
+	f := openFollower(t, newDisk(t))
+	entries := changes(t, 3)
+	f.append(entries[:2])
+	f.tick()
+	f.runGuarded(func() {
+		f.stateMachine.Apply(configurer.Change{ID: "half-done", BaseVersion: 2})
+		panic("unexpected")
+	})
+	assert.Equal(t, recorder.InputPanicked, f.events[len(f.events)-1].Number)
+	f.tick()
+	f.append(entries[2:])
+	assert.EqualValues(t, 3, f.stateMachine.Current().Version)
+	assert.Equal(t, "x", string(f.stateMachine.Current().Text))
+}
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -17,6 +17,7 @@
 	SettingsRefused:     {"settings-refused", true, true},
 	DutyRestarted:       {"duty-restarted", true, true},
 	ListenerReady:       {"listener-ready", true, false},
+	InputPanicked:       {"input-panicked", true, true},
 	LinkUp:              {"link-up", true, false},
 	LinkLost:            {"link-lost", true, true},
 	LinkRefused:         {"link-refused", true, true},
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -16,6 +16,7 @@
 	SettingsRefused     EventNumber = 105
 	DutyRestarted       EventNumber = 106
 	ListenerReady       EventNumber = 107
+	InputPanicked       EventNumber = 108
 	LinkUp              EventNumber = 201
 	LinkLost            EventNumber = 202
 	LinkRefused         EventNumber = 203
--- a/internal/replicator/message.go
+++ b/internal/replicator/message.go
@@ -5,7 +5,11 @@
 // caller must sync the former before it sends the latter.
 package replicator
 
-import "time"
+import (
+	"errors"
+	"fmt"
+	"time"
+)
 
 // Member is one replica. Its ID identifies a disk, not a VM: a VM whose disk was
 // lost rejoins as a new member.
@@ -79,6 +83,40 @@
 	Snapshot *Snapshot
 }
 
+// ErrInvalidMessage is returned for a message that no correct replica sends.
+var ErrInvalidMessage = errors.New("replicator: invalid message")
+
+// maxCounter is the highest term, index or round that a message may hold. A higher one
+// would leave no room for the next.
+const maxCounter = 1 << 62
+
+// Validate checks that the fields of a message from the network are consistent.
+func (m *Message) Validate() error {
+	for _, n := range []uint64{m.Term, m.Index, m.LogTerm, m.Commit, m.Round} {
+		if n > maxCounter {
+			return fmt.Errorf("%w: a counter is out of range", ErrInvalidMessage)
+		}
+	}
+	if m.Kind < PreVoteRequest || m.Kind > InstallSnapshot {
+		return fmt.Errorf("%w: kind %d", ErrInvalidMessage, m.Kind)
+	}
+	if len(m.Entries) > 0 && m.Kind != Append {
+		return fmt.Errorf("%w: entries in a message of kind %d", ErrInvalidMessage, m.Kind)
+	}
+	term := m.LogTerm
+	for i := range m.Entries {
+		e := &m.Entries[i]
+		if e.Index != m.Index+1+uint64(i) || e.Term < term || e.Term > m.Term {
+			return fmt.Errorf("%w: entry %d of term %d follows entry %d of term %d", ErrInvalidMessage, e.Index, e.Term, m.Index+uint64(i), term)
+		}
+		term = e.Term
+	}
+	if m.Kind == InstallSnapshot && (m.Snapshot == nil || m.Snapshot.Index == 0 || m.Snapshot.Index > maxCounter || len(m.Snapshot.Members) == 0) {
+		return fmt.Errorf("%w: a snapshot without state, index or members", ErrInvalidMessage)
+	}
+	return nil
+}
+
 // Effects lists what the caller must do, in the order of the fields. ElectionWon only
 // reports that the replica has just become the leader.
 type Effects struct {
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -93,7 +93,7 @@
 
 func (r *Replicator) handleAppendResponse(now time.Time, m *Message) {
 	p := r.progress[m.From]
-	if r.role != Leader || p == nil || m.Term != r.hardState.Term {
+	if r.role != Leader || p == nil || m.Term != r.hardState.Term || m.Index > r.log.lastIndex() {
 		return
 	}
 	p.lastContact = now
