Leases on the slowest clocks end in time

Cause: the end of a lease counted from an estimate of the upstream's clock that assumes no drift, while readings were kept by the bound that assumes the full one. On a clock with the full drift no reading replaced the bound, the estimate moved ahead by 1.2 s in a minute, and leases lasted that much longer: runs went on after others counted on their end. Ruled out: clocks that are exact or 1% slow, whose readings replace the bound. Before: TestLeaseOnSlowClock at 2%: a lease of 1.81 s; at 0 and 1%: 0.6 s. After: at most 0.6 s and at least 0.54 s on all three. Conclusion: leases count from the lowest possible reading; the drift is the setting's.

--- a/internal/holder/assign.go
+++ b/internal/holder/assign.go
@@ -81,7 +81,7 @@
 		h.upstreams[n.ID] = u
 		u.lastHeartbeatAt = now
 		u.takeAllowedAt = h.remoteTakeAt(now, u)
-		u.observeClock(now, n.Clock)
+		u.observeClock(now, n.Clock, h.config.Timing.ClockDrift)
 		h.logDecision(Decision{Event: "upstream-learnt", Upstream: n.ID, Reason: n.Address.String()})
 		if isFirstHand {
 			h.out.Notices = append(h.out.Notices, Notice{Upstream: n})
@@ -97,7 +97,7 @@
 	}
 	u.Upstream = n
 	u.lastHeartbeatAt = now
-	u.observeClock(now, n.Clock)
+	u.observeClock(now, n.Clock, h.config.Timing.ClockDrift)
 	if n.needsNotice(&before) {
 		h.logDecision(Decision{Event: "upstream-changed", Upstream: n.ID, Reason: stateName(n.State)})
 		if isFirstHand {
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -68,11 +68,11 @@
 }
 
 // observeClock keeps the reading that gives the highest lower bound.
-func (u *trackedUpstream) observeClock(now time.Time, reading time.Duration) {
+func (u *trackedUpstream) observeClock(now time.Time, reading time.Duration, drift float64) {
 	if reading <= 0 {
 		return
 	}
-	if !u.clock.isKnown() || reading >= u.clock.lowerBound(now, DefaultTiming().ClockDrift) {
+	if !u.clock.isKnown() || reading >= u.clock.lowerBound(now, drift) {
 		u.clock = clock{base: reading, at: now}
 	}
 }
@@ -111,9 +111,10 @@
 	return u.clock.isKnown() && u.clock.lowerBound(now, drift) > u.leaseEnd
 }
 
-// extendLease records and returns the end of a new lease on the upstream's clock.
+// extendLease records and returns the end of a new lease on the upstream's clock. It counts
+// from the lowest possible reading, so that the lease never lasts longer than Timing.Lease.
 func (h *Holder) extendLease(now time.Time, u *trackedUpstream) time.Duration {
-	until := u.clock.lowerBound(now, 0) + h.config.Timing.Lease
+	until := u.clock.lowerBound(now, h.config.Timing.ClockDrift) + h.config.Timing.Lease
 	u.leaseEnd = max(u.leaseEnd, until)
 	return until
 }
--- a/internal/holder/results.go
+++ b/internal/holder/results.go
@@ -20,7 +20,7 @@
 		return
 	}
 	if r.Clock > 0 {
-		u.observeClock(now, r.Clock)
+		u.observeClock(now, r.Clock, h.config.Timing.ClockDrift)
 	}
 	if r.Status == CallOtherIncarnation {
 		h.handleReplacedUpstream(now, u)
