Lost orders: list the runs instead of stopping them, and ask for ends more than once

Change: a start has a lease that ends before it counts as unanswered, if the lease of all runs is confirmed. The list of runs, with the upstream's clock, then decides: listed, the run goes on, so that work whose answer alone was lost is not thrown away; not listed after the lease, it can never run. While calls are lost, hold calls overlap, and three must fail before an upstream counts as unresponsive.

--- a/internal/forwarder/policy_test.go
+++ b/internal/forwarder/policy_test.go
@@ -113,9 +113,12 @@
 }
 
 // simulateTrace runs a trace on simulated entries and holders.
-func simulateTrace(t *testing.T, seed uint64, trace []traceJob) benefit {
+func simulateTrace(t *testing.T, seed uint64, trace []traceJob, setUp func(sim *simulation)) benefit {
 	t.Helper()
 	sim := newSimulation(t, seed, 6, 4, traceUpstreams)
+	if setUp != nil {
+		setUp(sim)
+	}
 	sim.traceJobs = map[string]*traceJob{}
 	sim.run(2*time.Second, nil)
 	traceStart, next := sim.now, 0
@@ -152,6 +155,18 @@
 type policy struct {
 	compare    func(now time.Duration, a, b *queuedJob) int
 	shouldDrop func(now time.Duration, j *queuedJob) bool
+	// lostStarts is the share of starts that are lost and repeated after retryAfter.
+	lostStarts float64
+	retryAfter time.Duration
+}
+
+// lostTime draws how long a task waits for its start to be repeated.
+func (p *policy) lostTime(r *rand.Rand) time.Duration {
+	lost := time.Duration(0)
+	for r.Float64() < p.lostStarts {
+		lost += p.retryAfter
+	}
+	return lost
 }
 
 type queuedJob struct {
@@ -211,6 +226,7 @@
 	var ends []end
 	took := map[string]time.Duration{}
 	next := 0
+	random := rand.New(rand.NewPCG(1, 7))
 	for now := time.Duration(0); now < traceLength+4*time.Second; now += time.Millisecond {
 		ends = slices.DeleteFunc(ends, func(e end) bool {
 			if e.at > now {
@@ -241,7 +257,7 @@
 					return false
 				}
 				free[best] -= j.cores
-				ends = append(ends, end{now + time.Duration(float64(j.works[j.started])/speeds[best%3]), j, best})
+				ends = append(ends, end{now + p.lostTime(random) + time.Duration(float64(j.works[j.started])/speeds[best%3]), j, best})
 				j.started++
 			}
 			return true
@@ -263,7 +279,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			trace := makeTrace(1, burst)
-			simulated := simulateTrace(t, 1, trace)
+			simulated := simulateTrace(t, 1, trace, nil)
 			logBenefit(t, "entries and holders", simulated)
 			for policyName, p := range referencePolicies {
 				b := simulatePolicy(trace, p)
--- a/internal/forwarder/world_test.go
+++ b/internal/forwarder/world_test.go
@@ -41,8 +41,9 @@
 	reportedNotRun map[string]bool
 	concurrentRuns []string
 	falseNotRun    []string
-	// lateStartShare is the share of start calls that arrive after lateStartDelay.
-	lateStartShare float64
+	// lateStartShare is the share of start calls that arrive after lateStartDelay, lateCallShare
+	// that of all calls. They are not answered.
+	lateStartShare, lateCallShare float64
 	// relayLossShare is the share of relayed messages that are lost.
 	relayLossShare float64
 	// meanArrivalMillis is the mean interval between jobs, in milliseconds.
@@ -486,8 +487,8 @@
 	if isPartitioned() {
 		return
 	}
-	if c.Kind == holder.StartCall && sim.rng.Float64() < sim.lateStartShare {
-		sim.pendingDeliveries = append(sim.pendingDeliveries, delivery{at: sim.now.Add(lateStartDelay), run: func() { u.start(&c) }})
+	if c.Kind == holder.StartCall && sim.rng.Float64() < sim.lateStartShare || sim.rng.Float64() < sim.lateCallShare {
+		sim.pendingDeliveries = append(sim.pendingDeliveries, delivery{at: sim.now.Add(lateStartDelay), run: func() { u.handleCall(c, func(holder.CallResult) {}) }})
 		return
 	}
 	sim.pendingDeliveries = append(sim.pendingDeliveries, delivery{at: sim.now.Add(hopLatency), run: func() {
--- a/internal/holder/assign.go
+++ b/internal/holder/assign.go
@@ -271,7 +271,7 @@
 	u.token = h.nextToken(now, u)
 	u.phase = taking
 	u.holder = h.config.VM
-	u.lastEnd, u.ackedEnd = 0, 0
+	u.lastEnd, u.ackedEnd, u.confirmedLeaseEnd = 0, 0, 0
 	u.holdPending, u.holdRetryAt = false, time.Time{}
 	h.logDecision(Decision{Event: "upstream-taking", Upstream: u.ID})
 	h.sendHold(now, u, 0)
@@ -325,7 +325,7 @@
 	h.logDecision(Decision{Event: "upstream-reborn", Upstream: u.ID, IsFault: len(u.runs) > 0})
 	h.removeLostRuns(now, u)
 	u.lastEnd, u.ackedEnd = 0, 0
-	u.clock, u.leaseEnd = clock{}, 0
+	u.clock, u.leaseEnd, u.confirmedLeaseEnd = clock{}, 0, 0
 	u.speed, u.failureRate, u.failures, u.pausedUntil = 1, 0, 0, time.Time{}
 	if u.phase == active || u.phase == taking || u.phase == releasing {
 		u.phase = taking
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -27,6 +27,12 @@
 	clock       clock
 	// leaseEnd is the end of the latest lease granted, on the upstream's clock.
 	leaseEnd time.Duration
+	// confirmedLeaseEnd is the end of the latest lease in a call that was answered.
+	confirmedLeaseEnd time.Duration
+	// answeredAt is when a call was last answered, and failedHolds the number of hold calls
+	// that failed since.
+	answeredAt  time.Time
+	failedHolds int
 	// lastEnd is the number of the latest run end processed, and ackedEnd that of the
 	// latest one whose acknowledgement has reached the upstream.
 	lastEnd, ackedEnd uint64
@@ -119,6 +125,24 @@
 	return until
 }
 
+// startLeaseTenths is the lease of a start in tenths of the wait for its answer, so that an
+// unanswered start is void when the runs are listed, also if the upstream's clock runs slow.
+const startLeaseTenths = 7
+
+// grantStartLease returns the lease of a start and, if an unanswered start becomes void by
+// itself, the reading of the upstream's clock after which it is. A start that is carried out
+// after its lease is refused, so that a short lease makes a lost start harmless without a
+// stop. The run lives on the lease of all runs, which must last until it is renewed.
+func (h *Holder) grantStartLease(now time.Time, u *trackedUpstream) (lease, voidAfter time.Duration) {
+	clock := u.clock.lowerBound(now, h.config.Timing.ClockDrift)
+	if u.confirmedLeaseEnd-clock < h.config.Timing.Lease/2 {
+		return h.extendLease(now, u), 0
+	}
+	lease = clock + h.startAnswerTime.timeout()*startLeaseTenths/10
+	u.leaseEnd = max(u.leaseEnd, lease)
+	return lease, lease
+}
+
 // sendHold asks for the lists of runs and ends, acknowledges ends, and renews the
 // leases unless the stop of a run is overdue.
 func (h *Holder) sendHold(now time.Time, u *trackedUpstream, wait time.Duration) {
@@ -126,7 +150,10 @@
 		Kind: HoldCall, Upstream: u.ID, Address: u.Address, Token: u.token, LastEnd: u.lastEnd,
 		Wait: wait, Timeout: wait + h.config.Timing.CallTimeout, SentAt: now,
 	}
-	if u.phase != taking && len(u.runs) > 0 && u.clock.isKnown() && !u.hasUnconfirmedStop(now) {
+	if u.phase == active && (wait == 0 || h.isLosingCalls()) {
+		c.Timeout = wait + h.startAnswerTime.timeout()
+	}
+	if u.phase != taking && u.clock.isKnown() && !u.hasUnconfirmedStop(now) {
 		c.LeaseUntil = h.extendLease(now, u)
 	}
 	u.holdPending, u.holdSentAt = true, now
@@ -155,6 +182,10 @@
 	for _, r := range u.runs {
 		h.maintainRun(now, u, r)
 	}
+	if u.holdPending && u.phase == active && h.isLosingCalls() && len(u.runs) > 0 && now.Sub(u.holdSentAt) >= losingHoldInterval {
+		h.sendHold(now, u, h.holdWait())
+		return
+	}
 	if u.holdPending {
 		h.relistOverdueRuns(now, u)
 		return
@@ -168,12 +199,57 @@
 	case u.hasStoppingRun():
 		h.sendHold(now, u, h.config.Timing.StopTime)
 	case len(u.runs) > 0:
-		h.sendHold(now, u, h.config.Timing.HoldWait)
+		h.sendHold(now, u, h.holdWait())
 	case u.lastEnd > u.ackedEnd && now.Sub(u.lastEndAt) >= endAckDelay:
 		h.sendHold(now, u, 0)
 	}
 }
 
+// observeAnswer keeps the share of calls that were lost: left unanswered by an upstream that
+// has answered another call since.
+func (h *Holder) observeAnswer(now time.Time, u *trackedUpstream, r *CallResult) {
+	lost := 0.0
+	switch r.Status {
+	case CallNotSent:
+		return
+	case CallUnanswered:
+		if now.Sub(u.answeredAt) > recentAnswer {
+			return
+		}
+		lost = 1
+	default:
+		u.answeredAt, u.failedHolds = now, 0
+	}
+	h.lostShare += (lost - h.lostShare) * lostShareGain
+}
+
+const (
+	// lostShareGain is the weight of the newest call in the share of lost calls.
+	lostShareGain = 1.0 / 64
+	// recentAnswer is the age of the latest answer of an upstream up to which its unanswered
+	// calls count as lost. An upstream that has not answered for longer is out of reach.
+	recentAnswer = 400 * time.Millisecond
+	// losingShare is the share of lost calls above which ends of runs are asked for more
+	// often, since the call that would report them may be lost.
+	losingShare = 0.02
+	// losingHoldDivisor shortens Timing.HoldWait while calls are lost.
+	losingHoldDivisor = 2
+	// losingHoldInterval is the interval between hold calls while calls are lost.
+	losingHoldInterval = 30 * time.Millisecond
+)
+
+// isLosingCalls reports whether calls are being lost. A VM that is behind with its work may
+// read answers too late, and must not add to that work.
+func (h *Holder) isLosingCalls() bool { return h.lostShare > losingShare && h.tickedOnTime }
+
+// holdWait is how long an upstream may hold a call open for a run to end.
+func (h *Holder) holdWait() time.Duration {
+	if h.isLosingCalls() {
+		return h.config.Timing.HoldWait / losingHoldDivisor
+	}
+	return h.config.Timing.HoldWait
+}
+
 // relistOverdueRuns sends a second hold call while one is pending. The pending one may be
 // lost if a run is overdue, or may miss a stop that was confirmed after it was sent.
 func (h *Holder) relistOverdueRuns(now time.Time, u *trackedUpstream) {
@@ -207,7 +283,9 @@
 	limit := r.expected*stuckFactor + stuckSlack
 	switch {
 	case r.state == starting && h.tickedOnTime && now.Sub(r.sentAt) > h.startAnswerTime.timeout():
-		h.stopUnansweredStart(now, u, r, "no answer yet")
+		h.handleUnansweredStart(now, u, r, "no answer yet")
+	case r.state == unanswered && now.Sub(u.holdSentAt) >= h.listInterval(u):
+		h.sendHold(now, u, 0)
 	case r.state == unconfirmed && !r.stopPending:
 		h.sendStop(now, u, r)
 	case r.state == running && !r.isStuck && now.Sub(r.sentAt) > limit && now.Sub(u.listedAt) < maxListAge && !r.isProgressing(now):
@@ -233,20 +311,43 @@
 	return elapsed*100/time.Duration(r.percent) < 2*elapsed
 }
 
-// stopUnansweredStart stops a run whose start is unanswered. The start may still take
-// effect, so the task moves to another upstream only once the stop is confirmed.
-func (h *Holder) stopUnansweredStart(now time.Time, u *trackedUpstream, r *run, text string) {
-	r.state = unconfirmed
+// handleUnansweredStart asks for the list of runs if the start becomes void by itself, and
+// stops the run otherwise. The start may still take effect, so the task moves to another
+// upstream only once it is known not to.
+func (h *Holder) handleUnansweredStart(now time.Time, u *trackedUpstream, r *run, text string) {
 	h.logDecision(Decision{
 		Event: "start-unanswered", Job: r.task.job.ID, Task: r.task.name, Run: r.number, Upstream: u.ID, Reason: text, IsFault: true,
 	})
-	u.failures++
 	r.task.avoid = append(r.task.avoid, u.ID)
+	if r.voidAfter > 0 && u.phase != notHeld {
+		r.state = unanswered
+		h.sendHold(now, u, 0)
+		return
+	}
+	r.state = unconfirmed
 	if !r.stopPending && u.phase != notHeld {
 		h.sendStop(now, u, r)
 	}
 }
 
+// listInterval is the interval between lists of runs while a start is unanswered.
+func (h *Holder) listInterval(u *trackedUpstream) time.Duration {
+	if u.isUnresponsive {
+		return probeInterval
+	}
+	return h.startAnswerTime.timeout()
+}
+
+// confirmStart records that a start has taken effect. A run that its job no longer needs
+// is stopped.
+func (h *Holder) confirmStart(now time.Time, u *trackedUpstream, r *run) {
+	r.state, r.confirmedAt, r.hasStarted = running, now, true
+	if r.discarded && !r.stopPending {
+		r.state = unconfirmed
+		h.sendStop(now, u, r)
+	}
+}
+
 // lowerSpeed lowers the upstream's estimated speed for a run that takes too long.
 func (u *trackedUpstream) lowerSpeed(now time.Time, r *run) {
 	estimate := r.task.job.Steps[r.task.step].Estimate
@@ -261,7 +362,7 @@
 	}
 	h.out.Calls = append(h.out.Calls, Call{
 		Kind: StopCall, Upstream: u.ID, Address: u.Address, Token: u.token, Task: r.task.name, Run: r.number,
-		Timeout: h.config.Timing.CallTimeout, SentAt: now,
+		Timeout: h.startAnswerTime.timeout(), SentAt: now,
 	})
 }
 
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -56,6 +56,7 @@
 	lastTickAt      time.Time
 	tickedOnTime    bool
 	startAnswerTime answerTime
+	lostShare       float64
 	lastAssignAt    time.Time
 	lastNoticeAt    time.Time
 	out             *Effects
--- a/internal/holder/job.go
+++ b/internal/holder/job.go
@@ -44,6 +44,9 @@
 	percent     int
 	// discarded is set once the job no longer needs the run and it has to be stopped.
 	discarded bool
+	// voidAfter is the reading of the upstream's clock after which a start that has not taken
+	// effect never will. It is zero if only a stop makes the start void.
+	voidAfter time.Duration
 	// stopRequestedAt is when the first stop was sent.
 	stopRequestedAt time.Time
 	stopPending     bool
@@ -58,7 +61,9 @@
 const (
 	starting runState = iota + 1
 	running
-	// unconfirmed: a start was not answered, or a stop is not confirmed yet.
+	// unanswered: a start was not answered. The next list of runs tells whether it took effect.
+	unanswered
+	// unconfirmed: a stop is not confirmed yet.
 	unconfirmed
 	// stopConfirmed: the upstream has confirmed the stop but not yet listed the end.
 	stopConfirmed
--- a/internal/holder/place.go
+++ b/internal/holder/place.go
@@ -221,6 +221,8 @@
 func (h *Holder) startTask(now time.Time, u *trackedUpstream, t *task) {
 	step := &t.job.Steps[t.step]
 	r := &run{task: t, number: t.nextRun, state: starting, needs: step.Needs, sentAt: now, expected: h.expectedRunTime(u, step)}
+	lease, voidAfter := h.grantStartLease(now, u)
+	r.voidAfter = voidAfter
 	t.nextRun++
 	t.run = r
 	t.job.runCount++
@@ -229,7 +231,7 @@
 	u.used = u.used.plus(step.Needs)
 	h.out.Calls = append(h.out.Calls, Call{
 		Kind: StartCall, Upstream: u.ID, Address: u.Address, Token: u.token, Task: t.name, Run: r.number,
-		Spec: t.job.Spec, LeaseUntil: h.extendLease(now, u), Timeout: maxStartTimeout, SentAt: now,
+		Spec: t.job.Spec, LeaseUntil: lease, Timeout: maxStartTimeout, SentAt: now,
 	})
 	if !u.holdPending {
 		u.holdRetryAt = time.Time{}
--- a/internal/holder/results.go
+++ b/internal/holder/results.go
@@ -22,6 +22,10 @@
 	if r.Clock > 0 {
 		u.observeClock(now, r.Clock, h.config.Timing.ClockDrift)
 	}
+	h.observeAnswer(now, u, r)
+	if r.Status == CallOK {
+		u.confirmedLeaseEnd = max(u.confirmedLeaseEnd, r.Call.LeaseUntil)
+	}
 	if r.Status == CallOtherIncarnation {
 		h.handleReplacedUpstream(now, u)
 		return
@@ -58,25 +62,19 @@
 		h.startAnswerTime.observe(now.Sub(result.Call.SentAt))
 	}
 	r := u.runs[runKey{result.Call.Task, result.Call.Run}]
-	if r == nil || r.state != starting && r.state != unconfirmed {
+	if r == nil || r.state != starting && r.state != unanswered && r.state != unconfirmed {
 		return
 	}
 	t := r.task
 	switch result.Status {
 	case CallOK:
-		if r.state == starting {
-			r.state = running
-			r.confirmedAt = now
-			r.hasStarted = true
-		}
-		if r.discarded && !r.stopPending {
-			r.state = unconfirmed
-			h.sendStop(now, u, r)
+		if r.state != unconfirmed {
+			h.confirmStart(now, u, r)
 		}
 		return
 	case CallUnanswered:
 		if r.state == starting {
-			h.stopUnansweredStart(now, u, r, result.Text)
+			h.handleUnansweredStart(now, u, r, result.Text)
 		}
 		return
 	case CallInvalid:
@@ -90,8 +88,10 @@
 		if u.failures >= pauseAfterFailures || result.Status == CallNotSent {
 			h.pause(now, u)
 		}
-	case CallNoCapacity, CallLeaseExpired:
+	case CallNoCapacity:
 		u.pausedUntil = now.Add(h.config.Timing.StopTime)
+	case CallLeaseExpired:
+		t.avoid = append(t.avoid, u.ID)
 	}
 	h.logDecision(Decision{Event: "start-refused", Job: t.job.ID, Task: t.name, Run: r.number, Upstream: u.ID, Reason: statusName(result.Status)})
 	u.removeRun(r)
@@ -168,11 +168,25 @@
 		u.takeAllowedAt = now.Add(takeRetryDelay)
 		return
 	}
-	u.holdRetryAt = now.Add(holdRetryDelay)
-	if u.isUnresponsive {
+	u.failedHolds++
+	switch {
+	case u.failedHolds < h.maxFailedHolds() || u.answeredAt.After(result.Call.SentAt):
+		u.holdRetryAt = time.Time{}
+	case u.isUnresponsive:
 		u.holdRetryAt = now.Add(probeInterval)
+	default:
+		u.isUnresponsive = true
+		u.holdRetryAt = now.Add(holdRetryDelay)
+	}
+}
+
+// maxFailedHolds is the number of consecutive failed hold calls without any answer after
+// which an upstream counts as unresponsive. One may be lost alone while calls are lost.
+func (h *Holder) maxFailedHolds() int {
+	if h.isLosingCalls() {
+		return 3
 	}
-	u.isUnresponsive = true
+	return 1
 }
 
 const (
@@ -206,6 +220,9 @@
 	return ended
 }
 
+// maxListedEnds is the maximum number of ended runs in one list.
+const maxListedEnds = 500
+
 // reconcileRuns stops listed runs that this VM doesn't know, and removes known ones
 // that are no longer listed. An upstream that is being taken becomes active once it
 // lists no unknown run.
@@ -218,6 +235,9 @@
 		r := u.runs[key]
 		if r != nil {
 			r.percent = s.Percent
+			if r.state == starting || r.state == unanswered {
+				h.confirmStart(now, u, r)
+			}
 			continue
 		}
 		if ended[key] {
@@ -230,8 +250,14 @@
 		})
 	}
 	for key, r := range u.runs {
+		if r.state == unanswered && !present[key] && result.Clock > r.voidAfter && len(result.Ended) < maxListedEnds {
+			h.logDecision(Decision{Event: "start-void", Job: r.task.job.ID, Task: r.task.name, Run: r.number, Upstream: u.ID, Wait: now.Sub(r.sentAt)})
+			u.removeRun(r)
+			h.requeueOrFinish(now, r)
+			continue
+		}
 		isConfirmed := !r.confirmedAt.IsZero() && !r.confirmedAt.After(result.Call.SentAt)
-		if present[key] || !isConfirmed || r.state == starting || r.state == unconfirmed {
+		if present[key] || !isConfirmed || r.state == starting || r.state == unanswered || r.state == unconfirmed {
 			continue
 		}
 		h.logDecision(Decision{Event: "run-vanished", Job: r.task.job.ID, Task: r.task.name, Run: r.number, Upstream: u.ID})
--- a/internal/holder/timing.go
+++ b/internal/holder/timing.go
@@ -50,7 +50,7 @@
 	stopConfirmLimit = 200 * time.Millisecond
 	// minStartTimeout is the minimum wait for the answer to a start: many round trips,
 	// and short enough for a task of 60 ms to be on time on another upstream.
-	minStartTimeout = 30 * time.Millisecond
+	minStartTimeout = 20 * time.Millisecond
 	// maxTickGap is the longest gap between two ticks after which the answers that arrived
 	// in between are assumed to have been read. After a longer one, no start times out at
 	// that tick.
--- a/internal/recorder/decision.go
+++ b/internal/recorder/decision.go
@@ -28,6 +28,7 @@
 	"start-refused":      842,
 	"start-unanswered":   843,
 	"start-invalid":      844,
+	"start-void":         850,
 	"run-failed":         845,
 	"run-ended-early":    846,
 	"run-stuck":          847,
