Drains and departures of upstreams survive a restart

Cause: a state VM saved the ready upstreams every 2 s and acknowledged a drain or a departure before that. Killed in between, it came back with the upstream as ready and could take it and start tasks there; after a loss of power the renamed file itself could be lost. Tombstones were not saved, so that a VM with an older memory was not corrected either. Ruled out: a restart of one VM while others know better: they send all notices on the new link before it settles. Change: the acknowledgement waits until the memory is on the disk (one write for all that wait, at most 700 ms, then 503 and the upstream reports again); upstreams that drain or have left are saved too and told to others; the folder is synced; the fingerprint covers capacity, labels, rack and service. Requests whose context ends no longer read a result that the decisions still write. Before: TestRestartKeepsDepartures without the wait, ready after the restart in both cases. After: draining and gone, on a VM with an older memory too.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -113,6 +113,7 @@
 	metrics           metrics
 	budget            *recorder.Budget
 	guard             supervisor.Guard
+	memoryRequests    chan chan struct{}
 }
 
 // session tracks the message delay of one inbound session.
@@ -168,7 +169,8 @@
 		ring: recorder.New(c.Name, eventRingSize), peers: tracker.New(self),
 		inputs: make(chan func(time.Time), inputQueueSize), done: make(chan struct{}),
 		sessions: map[uint64]*session{}, unsyncedPeers: map[string]bool{}, waiters: map[uint64]chan forwarder.Response{}, metrics: newMetrics(),
-		budget: recorder.NewBudget(maxLogLinesPerSecond, maxFaultLinesPerSecond),
+		budget:         recorder.NewBudget(maxLogLinesPerSecond, maxFaultLinesPerSecond),
+		memoryRequests: make(chan chan struct{}, memoryRequestQueueSize),
 	}
 	d.startedAt = now()
 	d.lastInputAt = d.startedAt
--- a/internal/conductor/memory.go
+++ b/internal/conductor/memory.go
@@ -22,52 +22,96 @@
 	memoryTempFile = "upstreams.new"
 	// memoryWriteInterval is the interval at which changes are looked for and written.
 	memoryWriteInterval = 2 * time.Second
+	// memorySaveTimeout is shorter than upstreams wait for an acknowledgement.
+	memorySaveTimeout = 700 * time.Millisecond
+	// memoryRequestQueueSize is the number of requests that may wait for one write.
+	memoryRequestQueueSize = 64
 )
 
-// persistMemory writes the known upstreams and VMs to the data folder when they change.
+// persistMemory writes the known upstreams and VMs to the data folder when they change,
+// and at once on a request of saveMemory.
 func (d *Conductor) persistMemory(ctx context.Context) error {
 	ticker := time.NewTicker(memoryWriteInterval)
 	defer ticker.Stop()
-	lastFingerprint := ""
+	written := uint64(0)
 	for {
+		var requests []chan struct{}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+		case r := <-d.memoryRequests:
+			requests = append(requests, r)
+		}
+		// One write serves all requests made before it.
+		for n := len(d.memoryRequests); n > 0; n-- {
+			requests = append(requests, <-d.memoryRequests)
 		}
 		var notices []holder.Notice
 		var vms []tracker.Neighbour
-		d.enqueueAndWait(ctx, func(time.Time) { notices, vms = d.holder.Notices(), d.peers.All() })
-		memory, fingerprint := encodeMemory(notices, vms)
-		if fingerprint == lastFingerprint || len(notices)+len(vms) == 0 {
+		if !d.enqueueAndWait(ctx, func(time.Time) { notices, vms = d.holder.Notices(), d.peers.All() }) {
 			continue
 		}
-		if err := d.writeMemory(memory); err != nil {
-			d.recordEvent(recorder.Event{Number: recorder.DiskRefused, Text: err.Error(), Task: recorder.NoTask})
-			continue
+		memory := encodeMemory(notices, vms)
+		if fingerprint := memoryFingerprint(memory); fingerprint != written && len(notices)+len(vms) > 0 {
+			if err := d.writeMemory(memory); err != nil {
+				d.recordEvent(recorder.Event{Number: recorder.DiskRefused, Text: err.Error(), Task: recorder.NoTask})
+				continue
+			}
+			written = fingerprint
 		}
-		lastFingerprint = fingerprint
+		for _, r := range requests {
+			close(r)
+		}
+	}
+}
+
+// saveMemory waits until what is known now is on the disk, at most for memorySaveTimeout: an
+// upstream that gets no acknowledgement reports again.
+func (d *Conductor) saveMemory(ctx context.Context) error {
+	if d.disk == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, memorySaveTimeout)
+	defer cancel()
+	saved := make(chan struct{})
+	select {
+	case d.memoryRequests <- saved:
+	case <-ctx.Done():
+		return fmt.Errorf("conductor: saving the known upstreams: %w", ctx.Err())
+	}
+	select {
+	case <-saved:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("conductor: saving the known upstreams: %w", ctx.Err())
 	}
 }
 
-// encodeMemory returns the message to store, and a fingerprint that changes with the set of
-// VMs and with the IDs, addresses and incarnations of the ready upstreams.
-func encodeMemory(notices []holder.Notice, vms []tracker.Neighbour) (*wire.Memory, string) {
+// encodeMemory returns the message to store. It has upstreams that drain or have left as well,
+// so that a restarted VM does not use them again and tells others.
+func encodeMemory(notices []holder.Notice, vms []tracker.Neighbour) *wire.Memory {
 	memory := &wire.Memory{}
-	checksum := uint64(0)
 	for i := range notices {
-		u := &notices[i].Upstream
-		if u.State != holder.Ready {
-			continue
-		}
 		memory.Upstreams = append(memory.Upstreams, encodeNotice(&notices[i]))
-		checksum += hash(u.ID + u.Address.String() + u.StartedAt.String())
 	}
 	for i := range vms {
 		memory.Vms = append(memory.Vms, encodeNeighbour(&vms[i]))
-		checksum += hash(vms[i].VM)
 	}
-	return memory, fmt.Sprint(len(memory.GetUpstreams()), len(memory.GetVms()), checksum)
+	return memory
+}
+
+// memoryFingerprint changes with the VMs and upstreams, but not with each heartbeat.
+func memoryFingerprint(memory *wire.Memory) uint64 {
+	sum := uint64(len(memory.GetUpstreams()))<<32 + uint64(len(memory.GetVms()))
+	for _, u := range memory.GetUpstreams() {
+		sum += hash(fmt.Sprint(u.GetId(), u.GetAddress(), u.GetBorn(), u.GetState(), u.GetService(), u.GetDataCentre(),
+			u.GetRack(), u.GetLabels(), u.GetMilliCores(), u.GetMemoryMb(), u.GetAccelerators()))
+	}
+	for _, vm := range memory.GetVms() {
+		sum += hash(vm.GetVm())
+	}
+	return sum
 }
 
 func (d *Conductor) writeMemory(memory *wire.Memory) error {
@@ -81,6 +125,7 @@
 		func() error { return d.disk.Append(memoryTempFile, data) },
 		func() error { return d.disk.Sync(memoryTempFile) },
 		func() error { return d.disk.Rename(memoryTempFile, memoryFile) },
+		d.disk.SyncFolder,
 	} {
 		if err := step(); err != nil {
 			return fmt.Errorf("conductor: writing the memory file: %w", err)
@@ -102,15 +147,13 @@
 		d.recordEvent(recorder.Event{Number: recorder.LogTailCut, Text: "memory: " + err.Error(), Task: recorder.NoTask})
 		return
 	}
-	var out holder.Effects
 	for _, w := range memory.GetUpstreams() {
 		notice, err := decodeNotice(w)
 		if err != nil {
+			d.recordInvalidMessage(memoryFile, err)
 			continue
 		}
-		notice.Upstream.Clock = 0
-		notice.Holder, notice.Token = "", 0
-		d.holder.HandleNotice(d.startedAt, d.config.Inner.String(), notice, &out)
+		d.holder.Restore(d.startedAt, notice.Upstream)
 	}
 	for _, w := range memory.GetVms() {
 		d.peers.Restore(d.startedAt, decodeNeighbour(w))
--- /dev/null
+++ b/internal/conductor/memory_test.go
@@ -0,0 +1,77 @@
+package conductor
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"bronzedrift.example/bronzedrift/internal/holder"
+)
+
+func testUpstream(sequence uint64) holder.Upstream {
+	return holder.Upstream{
+		ID: "u", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), DataCentre: "x", Capacity: holder.Capacity{MilliCores: 1000},
+		State: holder.Ready, StartedAt: time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC), Sequence: sequence,
+	}
+}
+
+// runUntilKilled runs the decisions and the memory of a VM until f returns. Nothing is
+// saved after that, as if the process had been killed.
+func runUntilKilled(t *testing.T, d *Conductor, f func(ctx context.Context)) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{}, 2)
+	for _, run := range []func(context.Context) error{d.runDecisions, d.persistMemory} {
+		go func() {
+			_ = run(ctx)
+			ended <- struct{}{}
+		}()
+	}
+	f(ctx)
+	cancel()
+	<-ended
+	<-ended
+}
+
+// TestRestartKeepsDepartures: an upstream whose drain or departure was acknowledged is not
+// ready again after a restart, neither on this VM nor on one with an older memory.
+func TestRestartKeepsDepartures(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		leave func(ctx context.Context, d *Conductor) error
+		state holder.State
+	}{
+		{"drains", func(ctx context.Context, d *Conductor) error {
+			u := testUpstream(2)
+			u.State = holder.Draining
+			return d.HandleHeartbeat(ctx, u)
+		}, holder.Draining},
+		{"has left", func(ctx context.Context, d *Conductor) error { return d.UpstreamLeft(ctx, "u") }, holder.Gone},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			folder := t.TempDir()
+			d := newTestConductor(t, folder)
+			runUntilKilled(t, d, func(ctx context.Context) {
+				require.NoError(t, d.HandleHeartbeat(ctx, testUpstream(1)))
+				require.NoError(t, d.saveMemory(ctx))
+				require.NoError(t, test.leave(ctx, d))
+			})
+			restarted := newTestConductor(t, folder)
+			assert.Equal(t, test.state, restarted.holder.StateOf("u"))
+			var out holder.Effects
+			restarted.holder.HandleHeartbeat(restarted.startedAt, testUpstream(1), &out)
+			assert.Equal(t, test.state, restarted.holder.StateOf("u"), "a late heartbeat brought it back")
+
+			behind := newTestConductor(t, t.TempDir())
+			behind.holder.Restore(behind.startedAt, testUpstream(1))
+			for _, n := range restarted.holder.Notices() {
+				behind.holder.HandleNotice(behind.startedAt, "other", n, &out)
+			}
+			assert.Equal(t, test.state, behind.holder.StateOf("u"))
+		})
+	}
+}
--- a/internal/conductor/requests.go
+++ b/internal/conductor/requests.go
@@ -49,47 +49,65 @@
 // HasJob reports whether a caller waits for the job on this VM.
 func (d *Conductor) HasJob(ctx context.Context, id string) bool {
 	known := false
-	d.enqueueAndWait(ctx, func(time.Time) { known = d.forwarder.HasJob(id) })
-	return known
+	return d.enqueueAndWait(ctx, func(time.Time) { known = d.forwarder.HasJob(id) }) && known
 }
 
 // Pending returns how many jobs of a route wait for their first task to start, summed over
 // the reachable VMs.
 func (d *Conductor) Pending(ctx context.Context, route string) int {
 	n := 0
-	d.enqueueAndWait(ctx, func(now time.Time) {
+	isCounted := d.enqueueAndWait(ctx, func(now time.Time) {
 		for _, p := range d.peers.Reachable(now) {
 			n += p.Load.Pending[route]
 		}
 	})
+	if !isCounted {
+		return 0
+	}
 	return n
 }
 
 // enqueueAndWait runs a function in the goroutine of runDecisions and waits until it returns.
-func (d *Conductor) enqueueAndWait(ctx context.Context, f func(now time.Time)) {
+// It reports false if the context ended before: the function may then still be running.
+func (d *Conductor) enqueueAndWait(ctx context.Context, f func(now time.Time)) bool {
 	ended := make(chan struct{})
 	d.enqueue(func(now time.Time) {
+		defer close(ended)
 		f(now)
-		close(ended)
 	})
 	select {
 	case <-ended:
+		return true
 	case <-ctx.Done():
 	case <-d.done:
 	}
+	return false
 }
 
-// HandleHeartbeat passes a heartbeat of an upstream to the holder and waits until it is processed.
-func (d *Conductor) HandleHeartbeat(ctx context.Context, u holder.Upstream) {
-	d.enqueueAndWait(ctx, func(now time.Time) {
+// HandleHeartbeat passes a heartbeat of an upstream to the holder. It returns once it is
+// processed and, if the upstream no longer takes new work, saved.
+func (d *Conductor) HandleHeartbeat(ctx context.Context, u holder.Upstream) error {
+	hasStopped := false
+	isProcessed := d.enqueueAndWait(ctx, func(now time.Time) {
 		u.Clock = max(u.Clock, 0)
+		hasStopped = u.State != holder.Ready && d.holder.StateOf(u.ID) == holder.Ready
 		d.holder.HandleHeartbeat(now, u, &d.holderEffects)
 	})
+	switch {
+	case !isProcessed:
+		return ErrStopped
+	case hasStopped:
+		return d.saveMemory(ctx)
+	}
+	return nil
 }
 
-// UpstreamLeft removes an upstream that has announced its end.
-func (d *Conductor) UpstreamLeft(ctx context.Context, id string) {
-	d.enqueueAndWait(ctx, func(now time.Time) { d.holder.UpstreamLeft(now, id, &d.holderEffects) })
+// UpstreamLeft removes an upstream that has announced its end. It returns once that is saved.
+func (d *Conductor) UpstreamLeft(ctx context.Context, id string) error {
+	if !d.enqueueAndWait(ctx, func(now time.Time) { d.holder.UpstreamLeft(now, id, &d.holderEffects) }) {
+		return ErrStopped
+	}
+	return d.saveMemory(ctx)
 }
 
 // Configure stores a version of the configuration. A version that is not higher than the
@@ -139,6 +157,8 @@
 // string if it is unknown.
 func (d *Conductor) HolderOf(ctx context.Context, id string) string {
 	vm := ""
-	d.enqueueAndWait(ctx, func(time.Time) { vm = d.holder.HolderOf(id) })
+	if !d.enqueueAndWait(ctx, func(time.Time) { vm = d.holder.HolderOf(id) }) {
+		return ""
+	}
 	return vm
 }
--- a/internal/holder/assign.go
+++ b/internal/holder/assign.go
@@ -68,6 +68,29 @@
 	}
 }
 
+// Restore adds an upstream that an earlier incarnation of this VM knew. Heartbeats and
+// notices replace it. One that had left stays out of use.
+func (h *Holder) Restore(now time.Time, u Upstream) {
+	if h.upstreams[u.ID] != nil {
+		return
+	}
+	u.Clock = 0
+	known := &trackedUpstream{Upstream: u, runs: map[runKey]*run{}, speed: 1, lastHeartbeatAt: now}
+	if u.State == Gone {
+		known.tombstoneAt = now
+	}
+	known.takeAllowedAt = h.remoteTakeAt(now, known)
+	h.upstreams[u.ID] = known
+}
+
+// StateOf returns the state of an upstream, or zero if it is not known.
+func (h *Holder) StateOf(id string) State {
+	if u := h.upstreams[id]; u != nil {
+		return u.State
+	}
+	return 0
+}
+
 // mergeHeartbeat stores a heartbeat if it is newer than the known one. Only first-hand
 // heartbeats, which the upstream sent to this VM itself, cause notices: each VM sends its
 // notices to all others.
