Entries dial each other before the state VMs count as lost

Ruled out: a shorter silence, which would give up VMs that are only slow. Change: other entries are dialled after 250 ms without any state VM, so that the links are up when the state VMs count as lost. A pause of the entry itself is no silence: heartbeats may wait in its queue.

--- a/internal/conductor/fallback.go
+++ b/internal/conductor/fallback.go
@@ -10,10 +10,13 @@
 )
 
 const (
-	// fallbackDelay is how long an entry that reaches no state VM waits before it holds
-	// upstreams itself. It leaves time to dial the other entries and to receive a
-	// heartbeat of one that reaches a state VM.
+	// fallbackDelay is how long an entry waits after it has dialled other entries before it
+	// holds upstreams itself. It leaves time to connect and to receive a heartbeat of one that
+	// reaches a state VM.
 	fallbackDelay = 150 * time.Millisecond
+	// fallbackLinkDelay is the silence of all state VMs after which an entry dials other
+	// entries: fallbackDelay before they count as unreachable.
+	fallbackLinkDelay = tracker.UnreachableAfter - fallbackDelay
 	// fallbackLinkRetention is how long links between entries are kept once a state VM is
 	// reachable again, since network failures often recur soon.
 	fallbackLinkRetention = 2 * time.Second
@@ -26,48 +29,94 @@
 // stateVMMonitor tracks whether an entry reaches any state VM.
 type stateVMMonitor struct {
 	startedAt time.Time
+	// observedAt is when the monitor was last called.
+	observedAt time.Time
 	// unreachableSince is zero while a state VM is reachable.
 	unreachableSince time.Time
-	everReachable    bool
+	// dialledAt is when other entries were dialled, zero while a state VM is heard.
+	dialledAt     time.Time
+	everReachable bool
 }
 
-// observe records whether a state VM is reachable, and reports whether the last one has
-// just become unreachable.
-func (m *stateVMMonitor) observe(now time.Time, reachable bool) bool {
-	if reachable {
-		m.unreachableSince, m.everReachable = time.Time{}, true
-		return false
+// stateVMChange is what an observation of the state VMs asks for.
+type stateVMChange struct {
+	// dial is set if other entries have to be dialled.
+	dial bool
+	// lost is set if the last state VM has just become unreachable.
+	lost bool
+}
+
+// observe records when a state VM was last heard. After a pause of this VM, silence says
+// nothing until the heartbeats that wait in its queue are read.
+func (m *stateVMMonitor) observe(now, heardAt time.Time) stateVMChange {
+	wasPaused := now.Sub(m.observedAt) > maxMonitorGap
+	m.observedAt = now
+	silence := now.Sub(heardAt)
+	switch {
+	case !heardAt.IsZero() && silence < fallbackLinkDelay:
+		m.unreachableSince, m.dialledAt, m.everReachable = time.Time{}, time.Time{}, true
+		return stateVMChange{}
+	case !heardAt.IsZero() && wasPaused:
+		return stateVMChange{}
+	case !heardAt.IsZero() && silence < tracker.UnreachableAfter:
+		m.unreachableSince = time.Time{}
+		return stateVMChange{dial: m.dial(now)}
+	case !m.unreachableSince.IsZero():
+		return stateVMChange{}
 	}
-	if !m.unreachableSince.IsZero() {
+	m.unreachableSince = now
+	return stateVMChange{dial: m.dial(now), lost: true}
+}
+
+// dial reports whether other entries have to be dialled now.
+func (m *stateVMMonitor) dial(now time.Time) bool {
+	if !m.dialledAt.IsZero() {
 		return false
 	}
-	m.unreachableSince = now
+	m.dialledAt = now
 	return true
 }
 
+// maxMonitorGap is the gap between two observations above which this VM was paused.
+const maxMonitorGap = 3 * tickInterval
+
 // allowsFallback reports whether the entry may hold upstreams itself.
 func (m *stateVMMonitor) allowsFallback(now time.Time) bool {
-	if m.unreachableSince.IsZero() || now.Sub(m.unreachableSince) < fallbackDelay {
+	if m.unreachableSince.IsZero() || now.Sub(m.dialledAt) < fallbackDelay {
 		return false
 	}
 	return m.everReachable || now.Sub(m.startedAt) >= startupWait
 }
 
-// updateFallback links an entry to other entries when it loses the last state VM. They may
-// relay its messages, or hold the upstreams of their data centre together with it.
+// updateFallback links an entry to other entries when no state VM is heard. They may relay its
+// messages, or hold the upstreams of their data centre together with it.
 func (d *Conductor) updateFallback(now time.Time) {
 	if d.config.IsState {
 		return
 	}
-	if !d.stateVMMonitor.observe(now, d.isStateVMReachable(now)) {
+	change := d.stateVMMonitor.observe(now, d.lastHeardStateVM())
+	if change.lost {
+		d.logDecisions([]holder.Decision{{Event: "state-vms-lost", IsFault: true}})
+	}
+	if !change.dial {
 		return
 	}
-	d.logDecisions([]holder.Decision{{Event: "state-vms-lost", IsFault: true}})
 	for _, vm := range d.fallbackPeers() {
 		d.openLink(vm)
 	}
 }
 
+// lastHeardStateVM returns when the last heartbeat of any state VM came, zero if none came.
+func (d *Conductor) lastHeardStateVM() time.Time {
+	var last time.Time
+	for _, vm := range d.peers.StateVMs() {
+		if p := d.peers.Peer(vm); p.ReceivedAt.After(last) {
+			last = p.ReceivedAt
+		}
+	}
+	return last
+}
+
 // closeFallbackLinks closes the links to other entries once this entry has reached a state
 // VM directly for fallbackLinkRetention. Links that the other entry still needs to reach a
 // state VM are kept.
@@ -96,15 +145,6 @@
 	return list
 }
 
-func (d *Conductor) isStateVMReachable(now time.Time) bool {
-	for _, p := range d.peers.Reachable(now) {
-		if p.IsState {
-			return true
-		}
-	}
-	return false
-}
-
 // fallbackPeers returns the known entries of this data centre and a few of each other one.
 func (d *Conductor) fallbackPeers() []string {
 	var list []string
