A slow entry still notices that the state VMs are lost

Cause: the monitor passed over each call that came after a pause, so that an entry seven times slower, whose ticks always come late, never noticed. Change: no two calls in a row are passed over. Before: TestFallback, 'this VM is slow': never noticed.

--- a/internal/conductor/fallback.go
+++ b/internal/conductor/fallback.go
@@ -29,8 +29,10 @@
 // stateVMMonitor tracks whether an entry reaches any state VM.
 type stateVMMonitor struct {
 	startedAt time.Time
-	// observedAt is when the monitor was last called.
+	// observedAt is when the monitor was last called, and hasSkipped is set if it passed over
+	// that call.
 	observedAt time.Time
+	hasSkipped bool
 	// unreachableSince is zero while a state VM is reachable.
 	unreachableSince time.Time
 	// dialledAt is when other entries were dialled, zero while a state VM is heard.
@@ -47,16 +49,18 @@
 }
 
 // observe records when a state VM was last heard. After a pause of this VM, silence says
-// nothing until the heartbeats that wait in its queue are read.
+// nothing until the heartbeats that wait in its queue are read: the call is passed over, but
+// not two in a row, since a slow VM comes late each time.
 func (m *stateVMMonitor) observe(now, heardAt time.Time) stateVMChange {
-	wasPaused := now.Sub(m.observedAt) > maxMonitorGap
-	m.observedAt = now
+	wasPaused := now.Sub(m.observedAt) > maxMonitorGap && !m.hasSkipped
+	m.observedAt, m.hasSkipped = now, false
 	silence := now.Sub(heardAt)
 	switch {
 	case !heardAt.IsZero() && silence < fallbackLinkDelay:
 		m.unreachableSince, m.dialledAt, m.everReachable = time.Time{}, time.Time{}, true
 		return stateVMChange{}
 	case !heardAt.IsZero() && wasPaused:
+		m.hasSkipped = true
 		return stateVMChange{}
 	case !heardAt.IsZero() && silence < tracker.UnreachableAfter:
 		m.unreachableSince = time.Time{}
--- a/internal/conductor/fallback_test.go
+++ b/internal/conductor/fallback_test.go
@@ -59,6 +59,13 @@
 			m.observe(at(pause), at(pause))
 		}
 	})
+	t.Run("this VM is slow", func(t *testing.T) {
+		m := stateVMMonitor{startedAt: start}
+		for now := at(0); !m.allowsFallback(now); now = now.Add(2 * maxMonitorGap) {
+			m.observe(now, at(0))
+			require.Less(t, now.Sub(start), tracker.UnreachableAfter+6*maxMonitorGap, "the loss is never noticed")
+		}
+	})
 	t.Run("state VMs refuse connections", func(t *testing.T) {
 		m := stateVMMonitor{startedAt: start}
 		m.observe(at(0), at(0))
