--- a/internal/forwarder/lost_orders_test.go
+++ b/internal/forwarder/lost_orders_test.go
@@ -53,3 +53,22 @@
 		})
 	}
 }
+
+// TestLostAnswers covers calls that are carried out while their answer is lost. What has run
+// must not run again, and what runs must not be stopped for it.
+func TestLostAnswers(t *testing.T) {
+	const seed, share, remaining, mostStoppedPercent = 1, 0.1, 0.95, 1
+	trace := makeTrace(seed, [3]float64{1, 1, 1})
+	withoutLoss := simulateTrace(t, seed, trace, nil).mean()
+	var sim *simulation
+	simulated := simulateTrace(t, seed, trace, func(s *simulation) {
+		sim = s
+		s.lostAnswerShare = share
+	}).mean()
+	t.Logf("without losses %.3f, with %.3f; %d tasks done, %d runs stopped", withoutLoss, simulated, len(sim.doneRuns), sim.stoppedRuns)
+	assert.GreaterOrEqual(t, simulated, remaining*withoutLoss)
+	for task, n := range sim.doneRuns {
+		assert.Equal(t, 1, n, "task %s was done more than once", task)
+	}
+	assert.LessOrEqual(t, sim.stoppedRuns*100, mostStoppedPercent*len(sim.doneRuns))
+}
--- a/internal/forwarder/world_test.go
+++ b/internal/forwarder/world_test.go
@@ -44,6 +44,12 @@
 	// lateStartShare is the share of start calls that arrive after lateStartDelay, lateCallShare
 	// that of all calls. They are not answered.
 	lateStartShare, lateCallShare float64
+	// lostAnswerShare is the share of calls that are carried out while their answer is lost.
+	lostAnswerShare float64
+	// doneRuns counts the runs of each task that ended as done, stoppedRuns those that were
+	// stopped.
+	doneRuns    map[string]int
+	stoppedRuns int
 	// relayLossShare is the share of relayed messages that are lost.
 	relayLossShare float64
 	// meanArrivalMillis is the mean interval between jobs, in milliseconds.
@@ -136,7 +142,7 @@
 	require.NoError(t, err)
 	sim := &simulation{
 		t: t, rng: rand.New(rand.NewPCG(seed, 5)), now: start, answered: map[string][]Response{}, startedJobs: map[string]bool{}, reportedNotRun: map[string]bool{},
-		answerTime: map[string]time.Duration{}, arrivedAt: map[string]time.Time{}, lastEntry: map[string]*entryVM{}, start: start, meanArrivalMillis: 50, maxAttempts: 3,
+		answerTime: map[string]time.Duration{}, arrivedAt: map[string]time.Time{}, lastEntry: map[string]*entryVM{}, doneRuns: map[string]int{}, start: start, meanArrivalMillis: 50, maxAttempts: 3,
 	}
 	for i := range entries {
 		e := &entryVM{vm: vm{name: fmt.Sprintf("10.0.1.%d:1", i+1), dataCentre: dataCentre(i)}}
@@ -491,9 +497,10 @@
 		sim.pendingDeliveries = append(sim.pendingDeliveries, delivery{at: sim.now.Add(lateStartDelay), run: func() { u.handleCall(c, func(holder.CallResult) {}) }})
 		return
 	}
+	isAnswerLost := sim.rng.Float64() < sim.lostAnswerShare
 	sim.pendingDeliveries = append(sim.pendingDeliveries, delivery{at: sim.now.Add(hopLatency), run: func() {
 		u.handleCall(c, func(r holder.CallResult) {
-			if !isPartitioned() {
+			if !isPartitioned() && !isAnswerLost {
 				sim.after(hopLatency, h.name, func() { answer(r) })
 			}
 		})
@@ -552,6 +559,12 @@
 
 func (u *fakeUpstream) end(r *fakeRun, how holder.EndKind) {
 	delete(u.runs, r.task)
+	switch how {
+	case holder.EndDone:
+		u.sim.doneRuns[r.task]++
+	case holder.EndStopped:
+		u.sim.stoppedRuns++
+	}
 	u.lastEndNumber++
 	u.ends = append(u.ends, holder.RunEnd{Number: u.lastEndNumber, Task: r.task, Run: r.run, How: how})
 	waiting := u.holdWaiters
