An upstream that answers calls is not forgotten for late heartbeats

Cause: by reading. An upstream without runs at that moment was removed after 6 s without a heartbeat, though it had just answered calls: heartbeats over a lossy link are late, or reach another VM that does not hold it. Ruled out: upstreams with runs, which were kept. Before: TestLateHeartbeats, 'answers calls': forgotten. After: kept while it answers, forgotten 6 s after the last sign of it.

--- a/internal/holder/assign.go
+++ b/internal/holder/assign.go
@@ -169,7 +169,7 @@
 			}
 			continue
 		}
-		if now.Sub(u.lastHeartbeatAt) > h.config.Timing.UpstreamSilence && len(u.runs) == 0 {
+		if u.isSilent(now, h.config.Timing.UpstreamSilence) && len(u.runs) == 0 {
 			h.removeUpstream(now, u, "the upstream is silent")
 			continue
 		}
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -83,6 +83,12 @@
 	}
 }
 
+// isSilent reports whether nothing has come from the upstream for a time. An upstream whose
+// heartbeats are late, or reach another VM, is alive while it answers calls.
+func (u *trackedUpstream) isSilent(now time.Time, limit time.Duration) bool {
+	return now.Sub(u.lastHeartbeatAt) > limit && now.Sub(u.answeredAt) > limit
+}
+
 func (u *trackedUpstream) holderIfHeld(vm string) string {
 	if u.phase == active || u.phase == releasing {
 		return vm
--- a/internal/holder/holder_test.go
+++ b/internal/holder/holder_test.go
@@ -290,3 +290,22 @@
 	require.NotEmpty(t, out.Calls)
 	assert.Equal(t, "urgent.0.0.0", out.Calls[0].Task)
 }
+
+// TestLateHeartbeats: an upstream that answers calls is not forgotten while its heartbeats
+// are late, one that does neither is.
+func TestLateHeartbeats(t *testing.T) {
+	for name, answers := range map[string]bool{"answers calls": true, "answers nothing": false} {
+		t.Run(name, func(t *testing.T) {
+			h, u, call := newActive(t)
+			silence := DefaultTiming().UpstreamSilence
+			now := call.SentAt.Add(silence - assignInterval)
+			if answers {
+				h.HandleResult(now, &CallResult{Call: call, Status: CallOK, Clock: clockAt(now), StartedAt: u.StartedAt}, &Effects{})
+			}
+			callsAt(h, call.SentAt.Add(silence+assignInterval))
+			assert.Equal(t, answers, h.StateOf(u.ID) == Ready)
+			callsAt(h, now.Add(2*silence))
+			assert.Zero(t, h.StateOf(u.ID), "never forgotten")
+		})
+	}
+}
