--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -5,13 +5,16 @@
 	"time"
 )
 
-// refreshMembers sets the members to those of the newest membership entry in the log.
-// If there is none, it sets them to those of the snapshot, or leaves them unchanged if
-// the snapshot is nil.
-func (r *Replicator) refreshMembers(s *Snapshot) {
-	if s != nil {
-		r.members, r.membersIndex = s.Members, s.Index
-	}
+// memberList is the list of members from an entry on.
+type memberList struct {
+	members []Member
+	index   uint64
+}
+
+// refreshMembers sets the members to those of the newest membership entry in the log or, if
+// there is none, to those of the snapshot.
+func (r *Replicator) refreshMembers() {
+	r.members, r.membersIndex = r.snapshotMembers.members, r.snapshotMembers.index
 	for i := len(r.log.entries) - 1; i >= 0; i-- {
 		if e := &r.log.entries[i]; e.Members != nil {
 			r.members, r.membersIndex = e.Members, e.Index
@@ -20,18 +23,14 @@
 	}
 }
 
-// membersAt returns the members as of the entry at index, or nil if neither the log nor
-// r.members still holds them.
+// membersAt returns the members as of the entry at index.
 func (r *Replicator) membersAt(index uint64) []Member {
 	for i := index; i >= r.log.firstIndex; i-- {
 		if e := r.log.entryAt(i); e.Members != nil {
 			return e.Members
 		}
 	}
-	if r.membersIndex <= index {
-		return r.members
-	}
-	return nil
+	return r.snapshotMembers.members
 }
 
 // Add adds a VM's disk as a learner, which becomes a voter once it has caught up.
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -129,8 +129,8 @@
 			r.log = log{firstIndex: s.Index + 1, prevTerm: s.Term}
 		}
 		r.commit, r.applied = s.Index, s.Index
-		r.members = s.Members
-		r.refreshMembers(s)
+		r.snapshotMembers = memberList{s.Members, s.Index}
+		r.refreshMembers()
 		r.firstUnsaved = 0
 		r.effects.Snapshot, r.effects.Restore = s, s
 	}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -44,6 +44,7 @@
 	leaderVM         string
 	log              log
 	members          []Member
+	snapshotMembers  memberList
 	commit           uint64
 	applied          uint64
 	votes            map[string]bool
@@ -94,7 +95,7 @@
 	}
 	if s := saved.Snapshot; s != nil {
 		r.log.firstIndex, r.log.prevTerm = s.Index+1, s.Term
-		r.members = s.Members
+		r.snapshotMembers = memberList{s.Members, s.Index}
 		r.commit, r.applied = s.Index, s.Index
 	} else {
 		r.log.firstIndex = 1
@@ -104,7 +105,7 @@
 	r.savedCommit = saved.HardState.Commit
 	// The commit index is kept in r.commit; saveHardState adds it to what is saved.
 	r.hardState.Commit, r.savedHardState.Commit = 0, 0
-	r.refreshMembers(saved.Snapshot)
+	r.refreshMembers()
 	r.electionDeadline = now.Add(r.timing.ElectionTimeout/startElectionDivisor + time.Duration(r.random.Int64N(int64(r.timing.ElectionTimeout))))
 	return r
 }
@@ -218,6 +219,7 @@
 		Index: r.applied, Term: r.log.term(r.applied), Members: r.membersAt(r.applied), State: state,
 	}
 	r.log.discardThrough(s.Index, s.Term)
+	r.snapshotMembers = memberList{s.Members, s.Index}
 	out.Snapshot = s
 }
 
@@ -256,7 +258,7 @@
 	if r.firstUnsaved == 0 || first < r.firstUnsaved {
 		r.firstUnsaved = first
 	}
-	r.refreshMembers(nil)
+	r.refreshMembers()
 }
 
 // Status is a replica's state as shown to operators.
