Comments and a constant of the lost orders say what they are

The connections, the share of lost calls and the number of failed hold calls; no figure and no behaviour changes. go test ./internal/holder passes.

--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -211,8 +211,8 @@
 	}
 }
 
-// observeAnswer keeps the share of calls that were lost: left unanswered by an upstream that
-// has answered another call since.
+// observeAnswer updates the share of calls that were lost: left unanswered by an upstream
+// that has answered another call within recentAnswer.
 func (h *Holder) observeAnswer(now time.Time, u *trackedUpstream, r *CallResult) {
 	lost := 0.0
 	switch r.Status {
--- a/internal/holder/results.go
+++ b/internal/holder/results.go
@@ -180,11 +180,15 @@
 	}
 }
 
+// losingFailedHolds is the number of failed hold calls after which an upstream counts as
+// unresponsive while calls are being lost. Otherwise it is one.
+const losingFailedHolds = 3
+
 // maxFailedHolds is the number of consecutive failed hold calls without any answer after
-// which an upstream counts as unresponsive. One may be lost alone while calls are lost.
+// which an upstream counts as unresponsive.
 func (h *Holder) maxFailedHolds() int {
 	if h.isLosingCalls() {
-		return 3
+		return losingFailedHolds
 	}
 	return 1
 }
