--- a/internal/replicator/membership_test.go
+++ b/internal/replicator/membership_test.go
@@ -17,7 +17,7 @@
 	members := []replicator.Member{{ID: "a", VM: "a", Voter: true}, {ID: "b", VM: "b", Voter: true}, {ID: "c", VM: "c", Voter: true}}
 	snapshot := &replicator.Snapshot{Index: 1, Term: 1, Members: members}
 	saved := replicator.Saved{HardState: replicator.HardState{Term: 1}, Snapshot: snapshot}
-	changed := append(members[:2:2], replicator.Member{ID: "d", VM: "d", Voter: true})
+	changed := []replicator.Member{members[0], members[1], {ID: "d", VM: "d", Voter: true}}
 	change := replicator.Entry{Index: 2, Term: 1, Members: changed}
 	for name, open := range map[string]func() *replicator.Replicator{
 		"received": func() *replicator.Replicator {
