A large configuration no longer brings all links down

Cause, from its replay with all logs: at 16.03 s a configuration of 1,852 routes came into force, about 460 KB. The leader pushed it to 97 entries with links of 19 Mbit/s; frames that took longer than 350 ms as a whole, or delayed the pings of a link for as long, closed the link; each new link was sent the whole version again, by each of six state VMs (1,105 link-ups in 2 s), so that no link survived and all holders counted as lost. Ruled out: the split of the state VMs before it (8.2 to 15.56 s, healed without a lost link) and the departures at its end. Change: a VM on a new link asks for a newer version instead of being sent one; a VM that hears of a higher version waits 300 ms for the push and then asks one VM at a time; the answer has the text only if it is newer. Frames are written in parts of 16 KB, each of which has the time that the whole frame had. Before: 1,072 lost links of entries and 946 jobs answered unknown from 16 to 18 s. The text still goes whole to each VM; compressing it needs a field on the wire.

--- a/internal/conductor/receive.go
+++ b/internal/conductor/receive.go
@@ -102,7 +102,7 @@
 		d.holder.EntrySeen(now.Add(-delay), from, incarnation, &d.holderEffects)
 	}
 	if h.Configuration > d.version.Load() {
-		d.keeper.RequestNewerVersion(from)
+		d.keeper.RequestNewerVersion(from, h.Configuration)
 	}
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -82,6 +82,7 @@
 	appliedSinceCompaction int
 	announcedAt            time.Time
 	guard                  supervisor.Guard
+	fetcher                fetcher
 }
 
 // input is one event for the Keeper's goroutine: a message and its sender, a newly
@@ -208,6 +209,7 @@
 	k.stepReplica(func(now time.Time, out *replicator.Effects) { k.replica.Tick(now, out) })
 	k.announceIfNotMember(k.config.Now())
 	k.maintainVoters(k.config.Now())
+	k.fetchNext(k.config.Now())
 }
 
 // runGuarded runs f. If it panics, the replica may be in an inconsistent state and starts
@@ -233,8 +235,7 @@
 	k.enqueue(input{from: from, message: m})
 }
 
-// PeerUp sends the active version and this disk's identity to a VM that has just
-// connected.
+// PeerUp is called when a VM has just connected.
 func (k *Keeper) PeerUp(vm string) {
 	k.enqueue(input{connectedPeer: vm})
 }
@@ -252,7 +253,7 @@
 	case in.run != nil:
 		in.run(now)
 	case in.connectedPeer != "":
-		k.sendStateTo(in.connectedPeer)
+		k.greet(now, in.connectedPeer)
 	case in.message.GetLog() != nil:
 		m, err := decodeMessage(in.message.GetLog())
 		if err != nil {
@@ -265,31 +266,31 @@
 	case in.message.GetResponse() != nil:
 		k.deliverResponse(in.message.GetResponse())
 	case in.message.GetConfiguration() != nil:
-		w := in.message.GetConfiguration()
-		k.activate(configurer.Configuration{Version: w.GetVersion(), Text: w.GetText()})
+		k.receiveConfiguration(now, in.message.GetConfiguration())
 	case in.message.GetWants():
-		if k.active.Version > in.message.GetWantNewer() {
-			k.handlers.Send(in.from, &wire.StateMessage{Configuration: encodeConfiguration(k.active)})
-		}
+		k.replyNewer(in.from, in.message.GetWantNewer())
 	case in.message.GetAnnounceMember() != "":
 		k.addMember(in.message.GetAnnounceVm(), in.message.GetAnnounceMember())
 	}
 }
 
-func (k *Keeper) sendStateTo(vm string) {
-	if k.active.Version > 0 {
-		k.handlers.Send(vm, &wire.StateMessage{Configuration: encodeConfiguration(k.active)})
-	}
+// greet asks a VM on a new link for a newer version, and announces this VM's disk.
+func (k *Keeper) greet(now time.Time, vm string) {
+	k.fetcher.add(now, vm, 0, k.active.Version)
+	k.fetchNext(now)
 	if k.replica != nil {
 		k.handlers.Send(vm, &wire.StateMessage{AnnounceMember: k.identity, AnnounceVm: k.config.VM})
 	}
 }
 
-// RequestNewerVersion asks a VM for its active version if that is higher than this VM's.
-func (k *Keeper) RequestNewerVersion(vm string) {
-	k.enqueue(input{run: func(time.Time) {
-		k.handlers.Send(vm, &wire.StateMessage{Wants: true, WantNewer: k.active.Version})
-	}})
+// receiveConfiguration handles a version that was pushed or asked for. One without a text
+// only says that its sender has nothing newer.
+func (k *Keeper) receiveConfiguration(now time.Time, w *wire.Configuration) {
+	k.fetcher.answered()
+	if len(w.GetText()) > 0 {
+		k.activate(decodeConfiguration(w))
+	}
+	k.fetchNext(now)
 }
 
 // activate makes a version the active one if it is higher. The leader and VMs without
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -13,6 +13,11 @@
 // maxFrameBytes is the largest frame that a receiver accepts.
 const maxFrameBytes = 256 << 20
 
+// maxWriteBytes is the largest part of a frame that is written at once. Keep-alive pings of
+// the session pass between the parts, so that a large frame on a narrow link does not make
+// it look silent.
+const maxWriteBytes = 16 << 10
+
 // ErrFrameTooLong reports a frame that is longer than maxFrameBytes.
 var ErrFrameTooLong = errors.New("messenger: frame too long")
 
@@ -25,8 +30,14 @@
 		return buffer, fmt.Errorf("messenger: encoding a frame: %w", err)
 	}
 	binary.BigEndian.PutUint32(buffer, uint32(len(buffer)-4))
-	_, err = w.Write(buffer)
-	return buffer, err
+	for rest := buffer; len(rest) > 0; {
+		n := min(len(rest), maxWriteBytes)
+		if _, err := w.Write(rest[:n]); err != nil {
+			return buffer, err
+		}
+		rest = rest[n:]
+	}
+	return buffer, nil
 }
 
 // readFrame reads a frame of writeFrame and returns its size in bytes, with the
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -199,6 +199,7 @@
 func (l *link) sendFrames(ctx context.Context, stream *yamux.Stream, session *yamux.Session) {
 	var buffer []byte
 	var sequence uint64
+	w := &progressWriter{stream: stream, timeout: l.messenger.silenceTimeout()}
 	for {
 		select {
 		case <-ctx.Done():
@@ -212,8 +213,7 @@
 			sequence++
 			frame := l.nextFrame(first, sequence)
 			var err error
-			_ = stream.SetWriteDeadline(time.Now().Add(l.messenger.silenceTimeout()))
-			if buffer, err = writeFrame(stream, buffer, frame); err != nil {
+			if buffer, err = writeFrame(w, buffer, frame); err != nil {
 				return
 			}
 			l.messenger.countSent(frame, len(buffer))
@@ -221,6 +221,19 @@
 	}
 }
 
+// progressWriter fails if a single write takes longer than the timeout: a large frame on a
+// narrow link may take longer than that as a whole.
+type progressWriter struct {
+	stream  *yamux.Stream
+	timeout time.Duration
+}
+
+// Write implements io.Writer.
+func (w *progressWriter) Write(b []byte) (int, error) {
+	_ = w.stream.SetWriteDeadline(time.Now().Add(w.timeout))
+	return w.stream.Write(b)
+}
+
 func (m *Messenger) countSent(frame *wire.Frame, size int) {
 	m.Counts.FramesSent.Add(1)
 	m.Counts.MessagesSent.Add(uint64(len(frame.GetMessages())))
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -222,3 +222,26 @@
 	m := <-b.received
 	assert.Equal(t, 2, m.Settlement.Count, "a message dropped on the old connection is not delivered later")
 }
+
+// writeRecorder records the sizes of writes.
+type writeRecorder struct{ sizes []int }
+
+func (w *writeRecorder) Write(b []byte) (int, error) {
+	w.sizes = append(w.sizes, len(b))
+	return len(b), nil
+}
+
+// TestLargeFramesAreWrittenInParts: pings of the session must pass between the parts of a
+// large frame, or the peer would close the link as silent.
+func TestLargeFramesAreWrittenInParts(t *testing.T) {
+	const size = 1 << 20
+	var w writeRecorder
+	_, err := writeFrame(&w, nil, &wire.Frame{Messages: []*wire.Message{{Body: &wire.Message_Log{Log: make([]byte, size)}}}})
+	require.NoError(t, err)
+	total := 0
+	for _, n := range w.sizes {
+		assert.LessOrEqual(t, n, maxWriteBytes)
+		total += n
+	}
+	assert.Greater(t, total, size)
+}
