--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -235,7 +235,8 @@
 	k.enqueue(input{from: from, message: m})
 }
 
-// PeerUp is called when a VM has just connected.
+// PeerUp sends the active version and this disk's identity to a VM that has just
+// connected.
 func (k *Keeper) PeerUp(vm string) {
 	k.enqueue(input{connectedPeer: vm})
 }
@@ -253,7 +254,7 @@
 	case in.run != nil:
 		in.run(now)
 	case in.connectedPeer != "":
-		k.greet(now, in.connectedPeer)
+		k.greet(in.connectedPeer)
 	case in.message.GetLog() != nil:
 		m, err := decodeMessage(in.message.GetLog())
 		if err != nil {
@@ -268,28 +269,28 @@
 	case in.message.GetConfiguration() != nil:
 		k.receiveConfiguration(now, in.message.GetConfiguration())
 	case in.message.GetWants():
-		k.replyNewer(in.from, in.message.GetWantNewer())
+		if k.active.Version > in.message.GetWantNewer() {
+			k.handlers.Send(in.from, &wire.StateMessage{Configuration: encodeConfiguration(k.active)})
+		}
 	case in.message.GetAnnounceMember() != "":
 		k.addMember(in.message.GetAnnounceVm(), in.message.GetAnnounceMember())
 	}
 }
 
-// greet asks a VM on a new link for a newer version, and announces this VM's disk.
-func (k *Keeper) greet(now time.Time, vm string) {
-	k.fetcher.add(now, vm, 0, k.active.Version)
-	k.fetchNext(now)
+// greet sends the active version and this disk's identity.
+func (k *Keeper) greet(vm string) {
+	if k.active.Version > 0 {
+		k.handlers.Send(vm, &wire.StateMessage{Configuration: encodeConfiguration(k.active)})
+	}
 	if k.replica != nil {
 		k.handlers.Send(vm, &wire.StateMessage{AnnounceMember: k.identity, AnnounceVm: k.config.VM})
 	}
 }
 
-// receiveConfiguration handles a version that was pushed or asked for. One without a text
-// only says that its sender has nothing newer.
+// receiveConfiguration handles a version that was pushed or asked for.
 func (k *Keeper) receiveConfiguration(now time.Time, w *wire.Configuration) {
 	k.fetcher.answered()
-	if len(w.GetText()) > 0 {
-		k.activate(decodeConfiguration(w))
-	}
+	k.activate(decodeConfiguration(w))
 	k.fetchNext(now)
 }
 
