Evacuations as orders in the replicated log

Cause: evacuations of data centres need the same guarantees as the configuration: a quorum commits them, and restarts and lost disks keep them.

A log entry with an order begins with a zero byte, so that builds without evacuations skip it instead of applying an empty configuration.

A request that was proposed in an earlier term is proposed again when it is repeated. A replica that had lost and regained the leadership ignored each repetition until the caller gave up.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -1,6 +1,7 @@
-// Package configurer is the replicated state machine of the configuration: it
-// applies changes in log order. A change names its base version, so that only one of
-// two concurrent changes is accepted, and an ID, so that a retry has the same outcome.
+// Package configurer is the replicated state machine of the configuration and of the
+// evacuations of data centres: it applies changes in log order. A change names its base
+// version, so that only one of two concurrent changes is accepted, and an ID, so that a
+// retry has the same outcome.
 package configurer
 
 import (
@@ -56,6 +57,7 @@
 	outcomes     map[string]Outcome
 	outcomeOrder []string
 	history      []Configuration
+	evacuations  evacuationState
 }
 
 // New returns a Configurer at version zero, without a configuration.
@@ -140,6 +142,7 @@
 	for _, h := range c.history {
 		w.History = append(w.History, encodeConfiguration(h))
 	}
+	c.evacuations.save(w)
 	state, err := proto.Marshal(w)
 	if err != nil {
 		return nil, fmt.Errorf("configurer: encoding a snapshot: %w", err)
@@ -162,7 +165,7 @@
 	for _, h := range w.GetHistory() {
 		c.history = append(c.history, decodeConfiguration(h))
 	}
-	return nil
+	return c.evacuations.restore(w)
 }
 
 func encodeConfiguration(c Configuration) *wire.Configuration {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -45,7 +46,10 @@
 	Broadcast func(m *wire.StateMessage)
 	// Activate puts a version of the configuration in force on this VM.
 	Activate func(configurer.Configuration)
-	Event    func(recorder.Event)
+	// ActivateEvacuations puts a set of evacuations in force on this VM. It is called with
+	// each higher revision and may be nil.
+	ActivateEvacuations func(configurer.EvacuationSet)
+	Event               func(recorder.Event)
 }
 
 // Errors of requests.
@@ -83,6 +87,9 @@
 	announcedAt            time.Time
 	guard                  supervisor.Guard
 	fetcher                fetcher
+	// evacuations is the set in force. It is never replaced by one of a lower revision.
+	evacuations       atomic.Pointer[configurer.EvacuationSet]
+	evacuationFetcher fetcher
 }
 
 // input is one event for the Keeper's goroutine: a message and its sender, a newly
@@ -95,10 +102,12 @@
 }
 
 // call is a request that this replica must answer as the leader. index is the entry
-// whose commit completes a removal, and zero for other requests.
+// whose commit completes a removal, and zero for other requests. term is that of the
+// proposal.
 type call struct {
 	request *wire.Request
 	index   uint64
+	term    uint64
 }
 
 const (
@@ -118,16 +127,22 @@
 		config: c, handlers: h, inputs: make(chan input, inputQueueLength), done: make(chan struct{}),
 		stateMachine: configurer.New(), pendingResponses: map[uint64]chan *wire.Response{}, leaderCalls: map[uint64]*call{},
 	}
+	k.evacuations.Store(&configurer.EvacuationSet{})
 	if c.Disk == nil {
 		return k, nil
 	}
-	return k, k.open()
+	saved, err := k.open()
+	if err != nil {
+		return nil, err
+	}
+	return k, k.recoverEvacuations(&saved)
 }
 
-func (k *Keeper) open() error {
+// open starts the replica from the disk and returns what was saved there.
+func (k *Keeper) open() (replicator.Saved, error) {
 	store, saved, err := storer.Open(k.config.Disk)
 	if err != nil {
-		return err
+		return saved, err
 	}
 	if store.TruncatedBytes() > 0 {
 		k.handlers.Event(recorder.Event{
@@ -142,23 +157,23 @@
 		return k.config.VM + "#" + uuid.NewString()
 	})
 	if err != nil {
-		return err
+		return saved, err
 	}
 	if isFounder && k.identity == founderID(k.config.VM) {
 		if err := k.saveFoundingState(store, &saved); err != nil {
-			return err
+			return saved, err
 		}
 	}
 	if saved.Snapshot != nil {
 		if err := k.stateMachine.Restore(saved.Snapshot.State); err != nil {
-			return err
+			return saved, err
 		}
 		k.snapshot = saved.Snapshot
 	}
 	k.store = store
 	k.replica = replicator.New(k.config.Now(), k.identity, k.config.VM, saved, k.config.Timing, k.config.Seed)
 	k.active = k.stateMachine.Current()
-	return nil
+	return saved, nil
 }
 
 func founderID(vm string) string { return vm + "#founder" }
@@ -193,6 +208,9 @@
 	if k.active.Version > 0 {
 		k.putInForce(k.active)
 	}
+	if set := k.Evacuations(); set.Revision > 0 {
+		k.putEvacuationsInForce(set)
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -210,6 +228,7 @@
 	k.announceIfNotMember(k.config.Now())
 	k.maintainVoters(k.config.Now())
 	k.fetchNext(k.config.Now())
+	k.fetchNextEvacuations(k.config.Now())
 }
 
 // runGuarded runs f. If it panics, the replica may be in an inconsistent state and starts
@@ -225,7 +244,7 @@
 	}
 	k.stateMachine, k.snapshot, k.leaderCalls = configurer.New(), nil, map[uint64]*call{}
 	k.appliedSinceCompaction = 0
-	if err := k.open(); err != nil {
+	if _, err := k.open(); err != nil {
 		panic(err)
 	}
 }
@@ -235,8 +254,8 @@
 	k.enqueue(input{from: from, message: m})
 }
 
-// PeerUp sends the active version and this disk's identity to a VM that has just
-// connected.
+// PeerUp sends the active version, the evacuations and this disk's identity to a VM that
+// has just connected.
 func (k *Keeper) PeerUp(vm string) {
 	k.enqueue(input{connectedPeer: vm})
 }
@@ -268,6 +287,10 @@
 		k.deliverResponse(in.message.GetResponse())
 	case in.message.GetConfiguration() != nil:
 		k.receiveConfiguration(now, in.message.GetConfiguration())
+	case in.message.GetEvacuations() != nil:
+		k.receiveEvacuations(now, in.from, in.message.GetEvacuations())
+	case in.message.GetWantsEvacuations():
+		k.sendEvacuations(in.from)
 	case in.message.GetWants():
 		if k.active.Version > in.message.GetWantNewer() {
 			k.handlers.Send(in.from, &wire.StateMessage{Configuration: encodeConfiguration(k.active)})
@@ -277,8 +300,9 @@
 	}
 }
 
-// greet sends the active version and this disk's identity.
+// greet sends the active version, the evacuations and this disk's identity.
 func (k *Keeper) greet(vm string) {
+	k.sendEvacuations(vm)
 	if k.active.Version > 0 {
 		k.handlers.Send(vm, &wire.StateMessage{Configuration: encodeConfiguration(k.active)})
 	}
@@ -307,6 +331,12 @@
 	}
 }
 
+// activateState puts the committed state of this replica in force.
+func (k *Keeper) activateState() {
+	k.activate(k.stateMachine.Current())
+	k.activateEvacuations(k.stateMachine.Evacuations())
+}
+
 // putInForce activates a version. If that panics, the former version stays in force: all VMs
 // have the same version, and each would come back to it from its disk.
 func (k *Keeper) putInForce(c configurer.Configuration) {
@@ -338,7 +368,7 @@
 		if err := k.stateMachine.Restore(out.Restore.State); err != nil {
 			panic(err)
 		}
-		k.activate(k.stateMachine.Current())
+		k.activateState()
 	}
 	for i := range out.Commits {
 		k.applyEntry(&out.Commits[i])
@@ -346,7 +376,7 @@
 	// The replica counts the whole batch as applied, so that a snapshot must not be taken
 	// before the last entry of it.
 	k.compactIfDue()
-	k.activate(k.stateMachine.Current())
+	k.activateState()
 	for _, number := range out.ReadyReads {
 		k.replyRead(number)
 	}
@@ -403,6 +433,10 @@
 }
 
 func (k *Keeper) applyChange(e *replicator.Entry) {
+	if configurer.IsEvacuation(e.Payload) {
+		k.applyEvacuation(e)
+		return
+	}
 	ch, err := configurer.DecodeChange(e.Payload)
 	if err != nil {
 		// All replicas skip the entry, so that their states stay the same.
--- a/internal/keeper/request.go
+++ b/internal/keeper/request.go
@@ -18,6 +18,9 @@
 	// requestCurrent reads the newest version without its history.
 	requestCurrent = "read-current"
 	requestRemove  = "remove"
+	// Leaders of builds without evacuations ignore these kinds, and the sender repeats them.
+	requestEvacuate        = "evacuate"
+	requestReadEvacuations = "read-evacuations"
 )
 
 // View is the configuration as a linearizable read returns it.
@@ -184,7 +187,9 @@
 	switch w.GetKind() {
 	case requestChange:
 		k.propose(w)
-	case requestRead, requestCurrent:
+	case requestEvacuate:
+		k.proposeEvacuation(w)
+	case requestRead, requestCurrent, requestReadEvacuations:
 		k.leaderCalls[w.GetNumber()] = &call{request: w}
 		k.stepReplica(func(now time.Time, out *replicator.Effects) { _ = k.replica.Read(now, w.GetNumber(), out) })
 	case requestRemove:
@@ -201,7 +206,7 @@
 		k.replyOutcome(w, o)
 		return
 	}
-	if _, ok := k.leaderCalls[w.GetNumber()]; ok {
+	if k.isProposed(w) {
 		return
 	}
 	payload, err := configurer.EncodeChange(ch)
@@ -209,16 +214,29 @@
 		k.reply(w, &wire.Response{Error: err.Error()})
 		return
 	}
-	k.leaderCalls[w.GetNumber()] = &call{request: w}
+	k.proposeEntry(w, payload)
+}
+
+// proposeEntry proposes an entry whose commit answers the request.
+func (k *Keeper) proposeEntry(w *wire.Request, payload []byte) {
+	k.leaderCalls[w.GetNumber()] = &call{request: w, term: k.replica.Status().Term}
 	k.stepReplica(func(now time.Time, out *replicator.Effects) { _, _ = k.replica.Propose(now, payload, out) })
 }
 
+// isProposed reports whether a request was proposed in the current term. An entry of an
+// earlier term may have been replaced by those of another leader, so that a request from
+// then is proposed again.
+func (k *Keeper) isProposed(w *wire.Request) bool {
+	c := k.leaderCalls[w.GetNumber()]
+	return c != nil && c.term == k.replica.Status().Term
+}
+
 func (k *Keeper) remove(w *wire.Request) {
-	if _, ok := k.leaderCalls[w.GetNumber()]; ok {
+	if k.isProposed(w) {
 		return
 	}
 	var err error
-	k.leaderCalls[w.GetNumber()] = &call{request: w, index: k.replica.LastIndex() + 1}
+	k.leaderCalls[w.GetNumber()] = &call{request: w, index: k.replica.LastIndex() + 1, term: k.replica.Status().Term}
 	k.stepReplica(func(now time.Time, out *replicator.Effects) { err = k.replica.Remove(now, w.GetVm(), out) })
 	if err != nil {
 		delete(k.leaderCalls, w.GetNumber())
@@ -232,6 +250,10 @@
 		return
 	}
 	delete(k.leaderCalls, number)
+	if c.request.GetKind() == requestReadEvacuations {
+		k.reply(c.request, &wire.Response{State: k.evacuationState()})
+		return
+	}
 	state := &wire.ConfigState{Current: encodeConfiguration(k.stateMachine.Current())}
 	for _, h := range k.historyFor(c.request) {
 		state.History = append(state.History, encodeConfiguration(h))
