Evacuation of a data centre: holders obey, state VMs take the orders

Change: package evacuator decides which upstreams may be given work while a data centre is emptied (in eight steps over a quarter of the deadline, jobs that have started go on for a half) and while work returns (open steps double as measured run times allow, at once when capacity is short). The holder obeys it: nothing is stopped, queued jobs go back to their entries, heartbeats say that a holder is evacuated, so that entries refuse at once when no other is left.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -51,6 +51,9 @@
 	ToleratedFailures int
 	DataFolder        string
 	Timing            holder.Timing
+	// EvacuationDeadline is the time from the acknowledgement of an evacuation after which no
+	// task may start in the data centre; zero means the default of package holder.
+	EvacuationDeadline time.Duration
 }
 
 // Handlers are the callbacks of a Conductor.
@@ -193,7 +196,7 @@
 func holderConfig(c *Config) holder.Config {
 	h := holder.Config{
 		VM: c.Inner.String(), DataCentre: c.DataCentre, Timing: c.Timing, TokenEpoch: tokenEpoch, MaxTakeAttempts: maxTakeAttempts,
-		RetakeDelay: retakeDelay,
+		RetakeDelay: retakeDelay, EvacuationDeadline: c.EvacuationDeadline,
 	}
 	if !c.IsState {
 		h.MaxTakeAttempts = math.MaxInt
@@ -273,12 +276,16 @@
 		}
 	}
 	k, err := keeper.New(c, keeper.Handlers{
-		Send: d.sendState, Broadcast: d.broadcastState, Activate: d.apply, Event: d.recordEvent,
+		Send: d.sendState, Broadcast: d.broadcastState, Activate: d.apply, ActivateEvacuations: d.applyEvacuations, Event: d.recordEvent,
 	})
 	if err != nil {
 		return fmt.Errorf("conductor: opening the keeper: %w", err)
 	}
 	d.keeper = k
+	// What the disk holds is in force before this VM takes upstreams.
+	if set := k.Evacuations(); set.Revision > 0 {
+		d.holder.SetEvacuations(d.startedAt, set, &d.holderEffects)
+	}
 	return nil
 }
 
--- a/internal/conductor/decoder.go
+++ b/internal/conductor/decoder.go
@@ -19,7 +19,7 @@
 func decodeHeartbeat(vm, incarnation string, w *wire.Pulse) tracker.Heartbeat {
 	h := tracker.Heartbeat{
 		VM: vm, Incarnation: incarnation, DataCentre: w.GetDataCentre(), IsState: w.GetIsState(),
-		IsLeaving: w.GetLeaving(), IsReady: w.GetReady(), Configuration: w.GetConfiguration(),
+		IsLeaving: w.GetLeaving(), IsReady: w.GetReady(), Configuration: w.GetConfiguration(), Evacuations: w.GetEvacuations(),
 	}
 	for _, n := range w.GetNeighbours() {
 		h.Neighbours = append(h.Neighbours, decodeNeighbour(n))
@@ -28,6 +28,7 @@
 		h.Load = holder.Load{
 			FreeMilliCores: l.GetFreeMilliCores(), TotalMilliCores: l.GetTotalMilliCores(),
 			Backlog: max(0, time.Duration(l.GetBacklog())), Racks: l.GetRacks(), Pending: map[string]int{},
+			IsEvacuated: l.GetEvacuated(),
 		}
 		for _, n := range l.GetPlaces() {
 			h.Load.FreeSlots = append(h.Load.FreeSlots, int(n))
--- a/internal/conductor/encoder.go
+++ b/internal/conductor/encoder.go
@@ -13,16 +13,18 @@
 func encodeHeartbeat(h *tracker.Heartbeat) *wire.Pulse {
 	w := &wire.Pulse{
 		DataCentre: h.DataCentre, IsState: h.IsState, Leaving: h.IsLeaving, Ready: h.IsReady, Configuration: h.Configuration,
+		Evacuations: h.Evacuations,
 	}
 	for i := range h.Neighbours {
 		w.Neighbours = append(w.Neighbours, encodeNeighbour(&h.Neighbours[i]))
 	}
-	if h.Load.TotalMilliCores == 0 && len(h.Load.Pending) == 0 {
+	if h.Load.TotalMilliCores == 0 && len(h.Load.Pending) == 0 && !h.Load.IsEvacuated {
 		return w
 	}
 	w.Load = &wire.HolderLoad{
 		FreeMilliCores: h.Load.FreeMilliCores, TotalMilliCores: h.Load.TotalMilliCores,
 		Backlog: int64(h.Load.Backlog), Racks: h.Load.Racks, Pending: map[string]uint32{},
+		Evacuated: h.Load.IsEvacuated,
 	}
 	for _, n := range h.Load.FreeSlots {
 		w.Load.Places = append(w.Load.Places, uint32(n))
--- a/internal/conductor/heartbeat.go
+++ b/internal/conductor/heartbeat.go
@@ -87,7 +87,7 @@
 	return tracker.Heartbeat{
 		VM: d.config.Inner.String(), Incarnation: d.incarnation,
 		DataCentre: d.config.DataCentre, IsState: d.config.IsState, IsLeaving: d.draining, IsReady: d.isSettled(now),
-		Configuration: d.version.Load(), Neighbours: d.peers.Neighbours(now, ""), Load: d.holder.Load(now),
+		Configuration: d.version.Load(), Evacuations: d.keeper.Evacuations().Revision, Neighbours: d.peers.Neighbours(now, ""), Load: d.holder.Load(now),
 	}
 }
 
@@ -130,6 +130,7 @@
 		}
 	}
 	d.closeFallbackLinks(now)
+	d.updateEvacuationMetrics()
 	for number, s := range d.sessions {
 		if now.Sub(s.lastUsedAt) > sessionRetention {
 			delete(d.sessions, number)
--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -10,13 +10,16 @@
 	"bronzedrift.example/bronzedrift/internal/holder"
 )
 
-// metrics are the counters and histograms of one VM. All label values are constants in the
-// code, so that the number of time series is limited.
+// metrics are the counters and histograms of one VM. Label values are constants in the code, or
+// data centres, so that the number of time series is limited.
 type metrics struct {
 	registry  *prometheus.Registry
 	decisions *prometheus.CounterVec
 	answers   *prometheus.HistogramVec
 	starts    prometheus.Histogram
+	// evacuated and evacuationRuns have a series for each data centre that was ever evacuated.
+	evacuated      *prometheus.GaugeVec
+	evacuationRuns *prometheus.GaugeVec
 }
 
 // latencyBuckets are in seconds and double from 5 ms to 10 s; job objectives are 0.1 to 2 s.
@@ -36,8 +39,14 @@
 		starts: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "bronzedrift_start_seconds", Help: "Time from a job's arrival at its holder to a start.", Buckets: latencyBuckets,
 		}),
+		evacuated: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "bronzedrift_data_centre_evacuated", Help: "1 while a data centre is evacuated, 0 once that is cancelled.",
+		}, []string{"data_centre"}),
+		evacuationRuns: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "bronzedrift_evacuation_runs", Help: "Runs on the upstreams of this VM in a data centre that is or was evacuated.",
+		}, []string{"data_centre"}),
 	}
-	m.registry.MustRegister(m.decisions, m.answers, m.starts)
+	m.registry.MustRegister(m.decisions, m.answers, m.starts, m.evacuated, m.evacuationRuns)
 	return m
 }
 
--- a/internal/conductor/receive.go
+++ b/internal/conductor/receive.go
@@ -112,6 +112,9 @@
 	if h.Configuration > d.version.Load() {
 		d.keeper.RequestNewerVersion(from, h.Configuration)
 	}
+	if h.Evacuations > d.keeper.Evacuations().Revision {
+		d.keeper.RequestNewerEvacuations(from, h.Evacuations)
+	}
 }
 
 // openLink opens a link to another VM.
@@ -204,8 +207,8 @@
 	d.messenger.SendLog(vm, payload)
 }
 
-// broadcastState sends a message to the state VMs. A new version of the configuration is
-// sent to the entries too; those that miss it learn of it from heartbeats.
+// broadcastState sends a message to the state VMs. A new version of the configuration and new
+// evacuations are sent to the entries too; those that miss them learn of them from heartbeats.
 func (d *Conductor) broadcastState(m *wire.StateMessage) {
 	if !d.config.IsState {
 		return
@@ -213,7 +216,7 @@
 	d.enqueue(func(time.Time) {
 		for _, vm := range d.peers.Known() {
 			p := d.peers.Peer(vm)
-			if p.IsState || m.GetConfiguration() != nil {
+			if p.IsState || m.GetConfiguration() != nil || m.GetEvacuations() != nil {
 				d.sendState(vm, m)
 			}
 		}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -229,14 +229,15 @@
 }
 
 // isHolderExpected reports whether a holder may soon be available: the last one was lost
-// less than takeoverTime ago, or a state VM is reachable.
+// less than takeoverTime ago, or a state VM is reachable that may take upstreams. One whose
+// upstreams are all evacuated has nothing to offer until the evacuation is cancelled.
 func (f *Forwarder) isHolderExpected(now time.Time) bool {
 	f.updateNoHolderSince(now)
 	if !f.noHolderSince.IsZero() && now.Sub(f.noHolderSince) < takeoverTime {
 		return true
 	}
 	for _, p := range f.peers.Reachable(now) {
-		if p.IsState && !p.IsLeaving {
+		if p.IsState && !p.IsLeaving && !p.Load.IsEvacuated {
 			return true
 		}
 	}
--- a/internal/forwarder/world_test.go
+++ b/internal/forwarder/world_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bronzedrift.example/bronzedrift/internal/configurer"
 	"bronzedrift.example/bronzedrift/internal/holder"
 	"bronzedrift.example/bronzedrift/internal/quarantiner"
 	"bronzedrift.example/bronzedrift/internal/tracker"
@@ -66,6 +67,12 @@
 	untold map[string]bool
 	// caller is the holder whose call is being carried out.
 	caller *holderVM
+	// evacuations is the latest set, which holders in contact get at their next tick.
+	evacuations configurer.EvacuationSet
+	// ignoresEvacuations injects a fault: this holder gets no evacuations.
+	ignoresEvacuations *holderVM
+	// startsIn are the times of the starts by data centre.
+	startsIn map[string][]time.Time
 }
 
 // vm is the common state of entries and holders.
@@ -155,7 +162,7 @@
 	require.NoError(t, err)
 	sim := &simulation{
 		t: t, rng: rand.New(rand.NewPCG(seed, 5)), now: start, answered: map[string][]Response{}, startedJobs: map[string]bool{}, reportedNotRun: map[string]bool{},
-		answerTime: map[string]time.Duration{}, arrivedAt: map[string]time.Time{}, lastEntry: map[string]*entryVM{}, doneRuns: map[string]int{}, crashes: map[string]int{}, untold: map[string]bool{}, start: start, meanArrivalMillis: 50, maxAttempts: 3,
+		answerTime: map[string]time.Duration{}, arrivedAt: map[string]time.Time{}, lastEntry: map[string]*entryVM{}, doneRuns: map[string]int{}, crashes: map[string]int{}, startsIn: map[string][]time.Time{}, untold: map[string]bool{}, start: start, meanArrivalMillis: 50, maxAttempts: 3,
 	}
 	for i := range entries {
 		e := &entryVM{vm: vm{name: fmt.Sprintf("10.0.1.%d:1", i+1), dataCentre: dataCentre(i)}}
@@ -343,6 +350,9 @@
 		h.holder.HandleStall(sim.now, gap, &out)
 	}
 	h.lastTick = sim.now
+	if h != sim.ignoresEvacuations && !sim.now.Before(h.partitionedUntil) {
+		h.holder.SetEvacuations(sim.now, sim.evacuations, &out)
+	}
 	peers := h.peers.LiveStateVMs(sim.now)
 	peers = append(peers, holder.Peer{VM: h.name, DataCentre: h.dataCentre, CanHold: true, IsReady: sim.now.Sub(h.startedAt) > holder.DefaultTiming().Settle})
 	h.holder.SetPeers(peers)
@@ -697,6 +707,7 @@
 		u.sim.falseNotRun = append(u.sim.falseNotRun, id+" later")
 	}
 	u.highestRun[c.Task] = c.Run
+	u.sim.startsIn[u.DataCentre] = append(u.sim.startsIn[u.DataCentre], u.sim.now)
 	u.runs[c.Task] = &fakeRun{
 		task: c.Task, run: c.Run, started: u.sim.now, cores: cores,
 		endsAt: u.sim.now.Add(time.Duration(float64(taskTime) / u.speed)),
--- a/internal/holder/assign.go
+++ b/internal/holder/assign.go
@@ -75,7 +75,7 @@
 		return
 	}
 	u.Clock = 0
-	known := &trackedUpstream{Upstream: u, runs: map[runKey]*run{}, speed: 1, lastHeartbeatAt: now}
+	known := &trackedUpstream{Upstream: u, runs: map[runKey]*run{}, speed: 1, lastHeartbeatAt: now, access: h.evacuator.Access(u.DataCentre, u.ID)}
 	if u.State == Gone {
 		known.tombstoneAt = now
 	}
@@ -100,7 +100,7 @@
 		if n.State == Gone {
 			return nil
 		}
-		u = &trackedUpstream{Upstream: n, runs: map[runKey]*run{}, speed: 1}
+		u = &trackedUpstream{Upstream: n, runs: map[runKey]*run{}, speed: 1, access: h.evacuator.Access(n.DataCentre, n.ID)}
 		h.upstreams[n.ID] = u
 		u.lastHeartbeatAt = now
 		u.takeAllowedAt = h.remoteTakeAt(now, u)
@@ -119,6 +119,7 @@
 		h.handleRestart(now, u)
 	}
 	u.Upstream = n
+	u.access = h.evacuator.Access(n.DataCentre, n.ID)
 	u.lastHeartbeatAt = now
 	u.observeClock(now, n.Clock, h.config.Timing.ClockDrift)
 	if n.needsNotice(&before) {
--- /dev/null
+++ b/internal/holder/evacuation.go
@@ -0,0 +1,77 @@
+package holder
+
+import (
+	"fmt"
+	"time"
+
+	"bronzedrift.example/bronzedrift/internal/configurer"
+	"bronzedrift.example/bronzedrift/internal/evacuator"
+)
+
+// DefaultEvacuationDeadline applies if no deadline is configured.
+const DefaultEvacuationDeadline = 5 * time.Second
+
+// evacuatedReason is the reason of the answer to a job whose data centre is evacuated.
+const evacuatedReason = "the data centre is evacuated"
+
+// SetEvacuations puts a newer set of evacuations in force. What runs is not stopped. Jobs that
+// have not started go back to their entries as the upstreams are closed to them.
+func (h *Holder) SetEvacuations(now time.Time, set configurer.EvacuationSet, out *Effects) {
+	h.out = out
+	h.evacuator.Update(now, set)
+	h.updateAccess()
+}
+
+// updateAccess applies the evacuations to the known upstreams.
+func (h *Holder) updateAccess() {
+	changes := map[string]int{}
+	for _, u := range h.upstreams {
+		before := u.access
+		u.access = h.evacuator.Access(u.DataCentre, u.ID)
+		if u.access != before {
+			h.needsPlacement = true
+		}
+		if u.access != before && u.phase == active {
+			changes[u.DataCentre]++
+		}
+	}
+	for dataCentre, changed := range changes {
+		h.logDecision(Decision{
+			Event:  "evacuation-step",
+			Reason: fmt.Sprintf("%s: %d upstreams changed, %.0f%% are open", dataCentre, changed, 100*h.evacuator.OpenShare(dataCentre)),
+		})
+	}
+}
+
+// admits reports whether tasks of a job may start on an upstream while its data centre is
+// evacuated.
+func (u *trackedUpstream) admits(j *job) bool {
+	return u.access == evacuator.Open || u.access == evacuator.StartedJobs && j.started
+}
+
+// isClosedTo reports whether an evacuation has closed all held upstreams of a service to jobs,
+// or to those that have started.
+func (h *Holder) isClosedTo(service string, started bool) bool {
+	isHeld := false
+	for _, u := range h.upstreams {
+		if u.phase != active || u.Service != service {
+			continue
+		}
+		if u.access == evacuator.Open || u.access == evacuator.StartedJobs && started {
+			return false
+		}
+		isHeld = true
+	}
+	return isHeld
+}
+
+// RunsIn returns the number of runs on the held upstreams of a data centre.
+func (h *Holder) RunsIn(dataCentre string) int {
+	runs := 0
+	for _, u := range h.upstreams {
+		if u.DataCentre == dataCentre && u.phase != notHeld {
+			runs += len(u.runs)
+		}
+	}
+	return runs
+}
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"bronzedrift.example/bronzedrift/internal/evacuator"
 )
 
 // trackedUpstream is a known upstream, whether held or not, with the runs that this
@@ -68,6 +70,8 @@
 	departed []exposure
 	// isIsolated is set while only suspects may run there, one at a time.
 	isIsolated bool
+	// access says which tasks may start there while the data centre is evacuated.
+	access evacuator.Access
 }
 
 type phase int
@@ -115,15 +119,20 @@
 	return ""
 }
 
-// isUsable reports whether new runs may start there.
+// isUsable reports whether runs of jobs that have not started yet may start there.
 func (u *trackedUpstream) isUsable(now time.Time) bool {
+	return u.access == evacuator.Open && u.isOperational(now)
+}
+
+// isOperational reports whether new runs may start there, evacuations aside.
+func (u *trackedUpstream) isOperational(now time.Time) bool {
 	return u.phase == active && u.State == Ready && !now.Before(u.pausedUntil) && !u.isUnresponsive && !u.hasUnconfirmedStop(now)
 }
 
 // isUsableSoon reports whether new runs may start there now, or as soon as the
 // pending call that takes the upstream is answered.
 func (u *trackedUpstream) isUsableSoon(now time.Time) bool {
-	return u.isUsable(now) || u.phase == taking && u.State == Ready && u.failedTakes == 0
+	return u.isUsable(now) || u.phase == taking && u.State == Ready && u.failedTakes == 0 && u.access == evacuator.Open
 }
 
 // hasUnconfirmedStop reports whether the stop of a run has gone unconfirmed for too
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"bronzedrift.example/bronzedrift/internal/evacuator"
 	"bronzedrift.example/bronzedrift/internal/quarantiner"
 )
 
@@ -24,6 +25,9 @@
 	// OnlyOwnDataCentre keeps a VM from holding upstreams of other data centres,
 	// where it can't tell which VM holds them.
 	OnlyOwnDataCentre bool
+	// EvacuationDeadline is the time from the acknowledgement of an evacuation after which no
+	// task may start in the data centre; zero means DefaultEvacuationDeadline.
+	EvacuationDeadline time.Duration
 }
 
 // Peer is a reachable VM.
@@ -69,8 +73,9 @@
 	// idleIsolated is the number of isolated upstreams without runs in a round of placement.
 	idleIsolated int
 	// losses are the recent losses of upstreams with runs, oldest first.
-	losses []recentLoss
-	out    *Effects
+	losses    []recentLoss
+	evacuator *evacuator.Evacuator
+	out       *Effects
 }
 
 // entry is a VM that submits jobs.
@@ -106,8 +111,13 @@
 
 // New returns a Holder without upstreams and jobs.
 func New(c Config) *Holder {
+	deadline := c.EvacuationDeadline
+	if deadline <= 0 {
+		deadline = DefaultEvacuationDeadline
+	}
 	return &Holder{
-		config: c, upstreams: map[string]*trackedUpstream{}, jobs: map[Key]*job{},
+		evacuator: evacuator.New(evacuator.Config{Deadline: deadline}),
+		config:    c, upstreams: map[string]*trackedUpstream{}, jobs: map[Key]*job{},
 		answers: map[Key]cachedAnswer{}, cancelled: map[string]time.Time{}, withdrawn: map[Key]withdrawal{}, entries: map[string]*entry{},
 		quarantine: quarantiner.New(), hotKinds: map[string]bool{}, probableBusy: map[string]int{},
 	}
@@ -177,6 +187,12 @@
 	for _, u := range h.upstreams {
 		h.maintainUpstream(now, u)
 	}
+	if len(h.queue) > 0 {
+		h.evacuator.NoteShortage()
+	}
+	if h.evacuator.Tick(now) {
+		h.updateAccess()
+	}
 	h.placeTasks(now)
 	h.abandonLateJobs(now)
 }
@@ -220,13 +236,21 @@
 	FreeSlots []int
 	// Pending counts by route the jobs of which no task has started.
 	Pending map[string]int
+	// IsEvacuated is set if an evacuation has closed all upstreams held to new jobs.
+	IsEvacuated bool
 }
 
 // Load returns the current load.
 func (h *Holder) Load(now time.Time) Load {
 	l := Load{Pending: map[string]int{}, FreeSlots: make([]int, len(SlotSizes))}
 	racks := map[string]bool{}
+	l.IsEvacuated = true
+	holds := false
 	for _, u := range h.upstreams {
+		holds = holds || u.phase == active
+		if u.phase == active && u.access == evacuator.Open {
+			l.IsEvacuated = false
+		}
 		if !u.isUsable(now) {
 			continue
 		}
@@ -245,6 +269,7 @@
 	for rack := range racks {
 		l.Racks = append(l.Racks, rack)
 	}
+	l.IsEvacuated = l.IsEvacuated && holds
 	sort.Strings(l.Racks)
 	l.Backlog = h.backlog(now)
 	for _, j := range h.queue {
--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"bronzedrift.example/bronzedrift/internal/evacuator"
 )
 
 // Submit accepts an order. A repeated order joins its running job, or gets the answer
@@ -92,6 +94,9 @@
 		return &Answer{Outcome: Busy, Reason: "leaving"}
 	}
 	fits, isServed := h.fitsAnywhere(o)
+	if !isServed && h.isClosedTo(o.Service, false) {
+		return &Answer{Outcome: Busy, Reason: evacuatedReason, Wait: noUpstreamWait}
+	}
 	if !isServed {
 		return &Answer{Outcome: Busy, Reason: "no upstream", Wait: noUpstreamWait}
 	}
@@ -107,6 +112,7 @@
 		limit = min(lateAdmissionTenths*o.Objective/10, o.Remaining)
 	}
 	if !o.Force && wait > 0 && wait+o.CriticalPath() > limit {
+		h.evacuator.NoteShortage()
 		return &Answer{Outcome: Busy, Reason: "queue", Wait: wait}
 	}
 	return nil
@@ -129,7 +135,7 @@
 	for _, s := range o.Steps {
 		stepFits := false
 		for _, u := range h.upstreams {
-			if u.phase != active || u.Service != o.Service || u.State != Ready {
+			if u.phase != active || u.Service != o.Service || u.State != Ready || u.access != evacuator.Open {
 				continue
 			}
 			isServed = true
@@ -272,6 +278,10 @@
 func (h *Holder) abandonLateJobs(now time.Time) {
 	for _, j := range slices.Clone(h.queue) {
 		switch {
+		case !j.started && h.isClosedTo(j.Service, false):
+			h.abandonJob(now, j, Answer{Outcome: Busy, Reason: evacuatedReason, Wait: noUpstreamWait})
+		case j.runCount == 0 && h.isClosedTo(j.Service, true):
+			h.abandonJob(now, j, Answer{Outcome: Lost, Reason: evacuatedReason})
 		case !j.started && now.Add(j.CriticalPath()).After(j.abandonAt()):
 			h.abandonJob(now, j, Answer{Outcome: Busy, Reason: "no place came free in time", Wait: h.backlog(now)})
 		case now.After(j.arrivedAt.Add(j.Remaining)):
--- a/internal/holder/place.go
+++ b/internal/holder/place.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"bronzedrift.example/bronzedrift/internal/evacuator"
 )
 
 // placeTasks starts waiting tasks as far as capacity allows. Started jobs precede others;
@@ -113,7 +115,7 @@
 	isFull = true
 	step := &t.job.Steps[t.step]
 	for _, u := range h.upstreams {
-		if u.isIsolated || !u.hasCapacity(now, t.job.Service, step) {
+		if u.isIsolated || !u.hasCapacity(now, t.job, step) {
 			continue
 		}
 		isFull = false
@@ -187,7 +189,7 @@
 		return false
 	}
 	for _, u := range h.upstreams {
-		if u.Service != t.job.Service || !u.isUsable(now) || !u.hasLabel(s.Label) {
+		if u.Service != t.job.Service || !u.isOperational(now) || !u.admits(t.job) || !u.hasLabel(s.Label) {
 			continue
 		}
 		wait, ok := u.nextSlotIn(now, s)
@@ -202,7 +204,7 @@
 func (h *Holder) bestRunTime(t *task, s *Step) time.Duration {
 	best := time.Duration(math.MaxInt64)
 	for _, u := range h.upstreams {
-		if u.phase == active && u.Service == t.job.Service {
+		if u.phase == active && u.Service == t.job.Service && u.admits(t.job) {
 			best = min(best, h.penalizedRunTime(u, t, s))
 		}
 	}
@@ -237,8 +239,8 @@
 	return u.Capacity.MilliCores - u.used.MilliCores - s.Needs.MilliCores
 }
 
-func (u *trackedUpstream) hasCapacity(now time.Time, service string, s *Step) bool {
-	return u.Service == service && u.used.plus(s.Needs).fitsIn(u.Capacity) && u.isUsable(now) && u.hasLabel(s.Label)
+func (u *trackedUpstream) hasCapacity(now time.Time, j *job, s *Step) bool {
+	return u.Service == j.Service && u.used.plus(s.Needs).fitsIn(u.Capacity) && u.isOperational(now) && u.admits(j) && u.hasLabel(s.Label)
 }
 
 // mayRun reports whether an upstream with free capacity may be given a task. One with
@@ -343,7 +345,7 @@
 	used, remaining := int64(0), time.Duration(0)
 	runs := 0
 	for _, u := range h.upstreams {
-		if u.phase != active || u.Service != o.Service {
+		if u.phase != active || u.Service != o.Service || u.access != evacuator.Open {
 			continue
 		}
 		used += u.used.MilliCores
--- a/internal/holder/results.go
+++ b/internal/holder/results.go
@@ -304,6 +304,7 @@
 		u.failures = 0
 		u.failureRate -= u.failureRate * failureRateGain
 		u.updateSpeed(now, r)
+		h.evacuator.ObserveRun(u.DataCentre, r.expected, now.Sub(r.sentAt))
 		t.done = true
 		t.job.tasksLeft--
 		if t.job.tasksLeft == 0 && !t.job.abandoned {
--- a/internal/holder/suspect.go
+++ b/internal/holder/suspect.go
@@ -354,7 +354,7 @@
 	}
 	step := &t.job.Steps[t.step]
 	for _, u := range h.upstreams {
-		if u.isIsolated && len(u.runs) == 0 && u.hasCapacity(now, t.job.Service, step) {
+		if u.isIsolated && len(u.runs) == 0 && u.hasCapacity(now, t.job, step) {
 			return u
 		}
 	}
--- a/internal/recorder/decision.go
+++ b/internal/recorder/decision.go
@@ -53,6 +53,7 @@
 	"upstream-lost":      874,
 	"common-loss":        875,
 	"upstream-isolated":  876,
+	"evacuation-step":    877,
 }
 
 // DecisionNumber returns the number of a decision, or zero for an unknown name.
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -24,8 +24,10 @@
 	IsReady bool
 	// Configuration is the configuration version in force at the VM.
 	Configuration uint64
-	Neighbours    []Neighbour
-	Load          holder.Load
+	// Evacuations is the revision of the evacuations in force at the VM.
+	Evacuations uint64
+	Neighbours  []Neighbour
+	Load        holder.Load
 }
 
 // Neighbour is a VM from which the sender of a heartbeat receives heartbeats: a state VM,
