--- a/internal/keeper/evacuation.go
+++ b/internal/keeper/evacuation.go
@@ -39,6 +39,9 @@
 		if err != nil {
 			return configurer.Evacuation{}, err
 		}
+		// The set is committed. It is put in force here in case the leader is lost before it
+		// has distributed the set.
+		k.enqueue(input{run: func(time.Time) { k.activateEvacuations(set) }})
 		if configurer.OutcomeKind(r.GetOutcome().GetKind()) != configurer.Conflict {
 			return recordOf(set, dataCentre), nil
 		}
@@ -126,6 +129,14 @@
 	k.evacuations.Store(&set)
 	k.putEvacuationsInForce(set)
 	if k.replica == nil || k.replica.Status().Role == replicator.Leader {
+		k.broadcastEvacuations()
+	}
+}
+
+// broadcastEvacuations sends the set in force to all reachable VMs. A new leader does so
+// too, since the former one may have been lost between the commit and its broadcast.
+func (k *Keeper) broadcastEvacuations() {
+	if set := k.Evacuations(); set.Revision > 0 {
 		k.handlers.Broadcast(&wire.StateMessage{Evacuations: configurer.EvacuationSetToWire(set)})
 	}
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -81,7 +81,6 @@
 	identity               string
 	pendingResponses       map[uint64]chan *wire.Response
 	leaderCalls            map[uint64]*call
-	requestCount           uint64
 	nextStateVM            int
 	appliedSinceCompaction int
 	announcedAt            time.Time
@@ -359,6 +358,7 @@
 func (k *Keeper) executeEffects(out *replicator.Effects) {
 	if out.ElectionWon {
 		k.handlers.Event(recorder.Event{Number: recorder.ElectionWon, Task: recorder.NoTask})
+		k.broadcastEvacuations()
 	}
 	k.save(out)
 	for i := range out.Sends {
--- a/internal/keeper/request.go
+++ b/internal/keeper/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"bronzedrift.example/bronzedrift/internal/configurer"
@@ -123,8 +124,8 @@
 	answer := make(chan *wire.Response, 1)
 	w.Origin = k.config.VM
 	k.enqueue(input{run: func(now time.Time) {
-		k.requestCount++
-		w.Number = uint64(now.UnixNano()) + k.requestCount
+		// The leader tells the requests of all VMs apart by their numbers.
+		w.Number = rand.Uint64()
 		k.pendingResponses[w.Number] = answer
 		k.dispatch(now, w)
 	}})
