--- a/internal/holder/job.go
+++ b/internal/holder/job.go
@@ -12,9 +12,9 @@
 	arrivedAt time.Time
 	// latestStart is the latest start at which the job is expected to meet its objective.
 	latestStart time.Time
-	steps     [][]*task
-	tasksLeft int
-	started   bool
+	steps       [][]*task
+	tasksLeft   int
+	started     bool
 	// abandoned is set once the job's runs are being stopped; answer is sent when the
 	// last of them has gone.
 	abandoned bool
