--- /dev/null
+++ b/internal/planner/capacity.go
@@ -0,0 +1,35 @@
+package planner
+
+// Capacity is what a task needs or a server has. Figures that a caller does not count stay
+// zero, and any unit will do as long as the servers and the tasks use the same.
+type Capacity struct {
+	Slots, MilliCores, MemoryMB, Accelerators int64
+}
+
+func (c Capacity) fitsIn(o Capacity) bool {
+	return c.Slots <= o.Slots && c.MilliCores <= o.MilliCores && c.MemoryMB <= o.MemoryMB && c.Accelerators <= o.Accelerators
+}
+
+func (c Capacity) plus(o Capacity) Capacity {
+	return Capacity{c.Slots + o.Slots, c.MilliCores + o.MilliCores, c.MemoryMB + o.MemoryMB, c.Accelerators + o.Accelerators}
+}
+
+func (c Capacity) minus(o Capacity) Capacity {
+	return Capacity{c.Slots - o.Slots, c.MilliCores - o.MilliCores, c.MemoryMB - o.MemoryMB, c.Accelerators - o.Accelerators}
+}
+
+// shareBeyond is the largest share of a figure of c that exceeds that of o.
+func (c Capacity) shareBeyond(o Capacity) float64 {
+	if c.fitsIn(o) {
+		return 0
+	}
+	return max(excessShare(c.Slots, o.Slots), excessShare(c.MilliCores, o.MilliCores),
+		excessShare(c.MemoryMB, o.MemoryMB), excessShare(c.Accelerators, o.Accelerators))
+}
+
+func excessShare(needed, free int64) float64 {
+	if needed <= free {
+		return 0
+	}
+	return float64(needed-free) / float64(needed)
+}
