Planner: a round with reservations costs 1.34 times one without

Change: Reserve skips servers with less free capacity than the best by comparison alone. A condition on the capacity of a server that no other condition left to decide is removed. Three tests that passed without the code they guard are sharper: a server where the task fits, the earlier start, names beyond the table. The shares of idle capacity refer to the whole trace.

--- a/internal/planner/index.go
+++ b/internal/planner/index.go
@@ -1,8 +1,8 @@
 package planner
 
 // index finds the positions of the reserved servers. The table spares MayStart the look-up in
-// the map for nearly all servers; with the map alone a round of 90 servers and 150 tasks cost
-// 1.7 times one without reservations.
+// the map for most servers: a round of 90 servers and 150 tasks costs 1.34 times one without
+// reservations, and 1.49 times with the map alone.
 type index struct {
 	positions map[string]int
 	// table holds by hash 0 if no server with it is reserved, the position plus one if one
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -4,7 +4,6 @@
 package planner
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -133,25 +132,27 @@
 		return Reservation{}, false
 	}
 	p.attempts++
-	best := candidate{missing: math.Inf(1)}
+	var best candidate
+	// least is the free capacity below which more is missing than on the best server. It spares
+	// most servers the division.
+	var least Capacity
 	for i := range servers {
 		s := &servers[i]
 		free := s.Capacity.minus(s.Used)
-		missing := t.Needs.shareBeyond(free)
 		// A server where the task fits was refused by the caller.
-		if missing == 0 || missing > best.missing && !p.bounds.isFirstStart || !t.Needs.fitsIn(s.Capacity) {
+		if best.Server != "" && !least.fitsIn(free) || t.Needs.fitsIn(free) {
 			continue
 		}
 		if _, ok := p.index.find(s.ID); ok {
 			continue
 		}
 		c, ok := p.consider(now, t, s, free)
-		if !ok {
+		if !ok || best.Server != "" && !p.isBetter(&c, &best) {
 			continue
 		}
-		c.missing = missing
-		if best.Server == "" || p.isBetter(&c, &best) {
-			best = c
+		best = c
+		if !p.bounds.isFirstStart {
+			least = t.Needs.without(c.missing)
 		}
 	}
 	if best.Server == "" {
@@ -218,7 +219,7 @@
 		return candidate{}, false
 	}
 	r := reservation{Reservation: Reservation{Server: s.ID, At: at, Needs: t.Needs}, released: released, free: free}
-	return candidate{reservation: r, end: at.Add(runTime)}, true
+	return candidate{reservation: r, missing: t.Needs.shareBeyond(free), end: at.Add(runTime)}, true
 }
 
 // unboundedDelay exceeds the run time of any task.
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -59,6 +59,8 @@
 func TestReservedServer(t *testing.T) {
 	slow, fast := server("slow", run(8, 50)), server("fast", run(8, 50))
 	slow.Speed, fast.Speed = 0.8, 1.6
+	early := server("early", run(8, 30))
+	early.Speed = 0.8
 	full := server("full", run(16, 40))
 	small := server("small", run(4, 10))
 	small.Capacity = cores(8)
@@ -77,7 +79,8 @@
 		"not where the task never fits":       {[]Server{small, server("b", run(8, 60))}, "b", 60},
 		"not beside a run that has overrun":   {[]Server{server("a", run(8, -1)), full}, "full", 40},
 		"beside a run that has overrun":       {[]Server{server("a", run(4, -1), run(8, 30))}, "a", 30},
-		"not where it fits and is refused":    {[]Server{server("a"), full}, "full", 40},
+		"not where it fits and is refused":    {[]Server{server("a", run(4, 10)), full}, "full", 40},
+		"the earlier start on a slower one":   {[]Server{fast, early}, "early", 30},
 		"not where a figure would not fit":    {[]Server{server("a", Run{Capacity{Slots: 1}, after(5)}), full}, "full", 40},
 		"a run that ends at this very moment": {[]Server{server("a", run(8, 0))}, "a", 0},
 	} {
@@ -244,21 +247,31 @@
 // TestIndex guards against servers that are taken for others with a like name, and against
 // ones that are still found in the next round.
 func TestIndex(t *testing.T) {
-	for name, format := range map[string]string{"unlike ends": "upstream-%d", "like ends": "10.0.0.%d:8080", "short": "%d"} {
+	for name, nameOf := range map[string]func(i int) string{
+		"unlike ends": func(i int) string { return fmt.Sprintf("upstream-%d", i) },
+		"like ends":   func(i int) string { return fmt.Sprintf("10.0.0.%d:8080", i) },
+		"short":       func(i int) string { return fmt.Sprint(i) },
+		"unlike ends beyond the table": func(i int) string {
+			if i < 255 {
+				return fmt.Sprintf("10.0.0.%d:8080", i)
+			}
+			return fmt.Sprintf("10.0.0.%d", i)
+		},
+	} {
 		t.Run(name, func(t *testing.T) {
 			x := index{positions: map[string]int{}}
 			for range 2 {
 				for i := range 300 {
-					x.add(fmt.Sprintf(format, i), i)
+					x.add(nameOf(i), i)
 				}
 				for i := range 600 {
-					position, ok := x.find(fmt.Sprintf(format, i))
+					position, ok := x.find(nameOf(i))
 					assert.Equal(t, i < 300, ok, i)
 					assert.True(t, !ok || position == i, i)
 				}
 				x.clear()
 				for i := range 600 {
-					_, ok := x.find(fmt.Sprintf(format, i))
+					_, ok := x.find(nameOf(i))
 					assert.False(t, ok, i)
 				}
 			}
--- a/internal/planner/trace_test.go
+++ b/internal/planner/trace_test.go
@@ -66,7 +66,7 @@
 		r.add(jobs)
 		busy += s.busy
 		for _, v := range s.servers {
-			capacity += v.Speed * float64(v.Capacity.MilliCores) / 1000 * (traceDuration - traceWarmUp).Seconds()
+			capacity += v.Speed * float64(v.Capacity.MilliCores) / 1000
 		}
 		if p.planner == nil {
 			continue
@@ -77,7 +77,8 @@
 			r.late += class.Late
 		}
 	}
-	r.utilisation, r.idle = busy/capacity, idle/capacity
+	r.utilisation = busy / capacity / (traceDuration - traceWarmUp).Seconds()
+	r.idle = idle / capacity / traceDuration.Seconds()
 	slices.Sort(r.small)
 	slices.Sort(r.large)
 	return r
