--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
 
+	"bronzedrift.example/bronzedrift/internal/balancer"
 	"bronzedrift.example/bronzedrift/internal/configurer"
 	"bronzedrift.example/bronzedrift/internal/forwarder"
 	"bronzedrift.example/bronzedrift/internal/holder"
@@ -54,6 +55,11 @@
 	// EvacuationDeadline is the time from the acknowledgement of an evacuation after which no
 	// task may start in the data centre; zero means the default of package holder.
 	EvacuationDeadline time.Duration
+	// LooksAhead lets waiting tasks reserve capacity that is expected to come free.
+	LooksAhead bool
+	// BalancesLoad lets entries draw the holder of a job in proportion to the free slots that
+	// holders probably have, instead of taking the one that reports the most.
+	BalancesLoad bool
 }
 
 // Handlers are the callbacks of a Conductor.
@@ -179,7 +185,7 @@
 	d.lastInputAt = d.startedAt
 	d.stateVMMonitor.startedAt = d.startedAt
 	d.holder = holder.New(holderConfig(&c))
-	d.forwarder = forwarder.New(c.DataCentre, c.Timing, d.peers)
+	d.forwarder = forwarder.New(c.DataCentre, c.Timing, d.peers, d.newBalancer())
 	d.stateVMs.Store(&[]string{})
 	if err := d.openMessenger(); err != nil {
 		return nil, err
@@ -196,7 +202,7 @@
 func holderConfig(c *Config) holder.Config {
 	h := holder.Config{
 		VM: c.Inner.String(), DataCentre: c.DataCentre, Timing: c.Timing, TokenEpoch: tokenEpoch, MaxTakeAttempts: maxTakeAttempts,
-		RetakeDelay: retakeDelay, EvacuationDeadline: c.EvacuationDeadline,
+		RetakeDelay: retakeDelay, EvacuationDeadline: c.EvacuationDeadline, LooksAhead: c.LooksAhead,
 	}
 	if !c.IsState {
 		h.MaxTakeAttempts = math.MaxInt
@@ -207,6 +213,14 @@
 	return h
 }
 
+// newBalancer returns nil if entries do not balance the load.
+func (d *Conductor) newBalancer() *balancer.Balancer {
+	if !d.config.BalancesLoad {
+		return nil
+	}
+	return balancer.New(balancer.Config{Entries: func() int { return len(d.peers.Entries()) }}, rand.Uint64())
+}
+
 const (
 	// maxTakeAttempts is the number of attempts at taking an upstream that has not
 	// reported to this VM. The second one covers a lost message. After that, the upstream is
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"bronzedrift.example/bronzedrift/internal/balancer"
 	"bronzedrift.example/bronzedrift/internal/holder"
 	"bronzedrift.example/bronzedrift/internal/tracker"
 )
@@ -73,7 +74,9 @@
 	noHolderSince time.Time
 	// sentLoads is the load sent to each holder since its last heartbeat.
 	sentLoads map[string]sentLoad
-	out       *Effects
+	// balancer is nil if jobs go to the holder that reports the most free slots.
+	balancer *balancer.Balancer
+	out      *Effects
 }
 
 // job is a job with at least one caller waiting at this entry.
@@ -148,10 +151,11 @@
 	noHolderRetryAfter = time.Second
 )
 
-// New returns a Forwarder without jobs.
-func New(dataCentre string, timing holder.Timing, peers *tracker.Tracker) *Forwarder {
+// New returns a Forwarder without jobs. A nil balancer sends each job to the holder that
+// reports the most free slots.
+func New(dataCentre string, timing holder.Timing, peers *tracker.Tracker, b *balancer.Balancer) *Forwarder {
 	return &Forwarder{
-		dataCentre: dataCentre, timing: timing, peers: peers, jobs: map[string]*job{}, sentLoads: map[string]sentLoad{},
+		dataCentre: dataCentre, timing: timing, peers: peers, jobs: map[string]*job{}, sentLoads: map[string]sentLoad{}, balancer: b,
 	}
 }
 
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -20,7 +20,7 @@
 		VM: "state", Incarnation: "1", IsState: true, IsReady: true,
 		Load: holder.Load{TotalMilliCores: 32_000, FreeMilliCores: 32_000, FreeSlots: make([]int, len(holder.SlotSizes))},
 	}, "")
-	f := New("a", holder.DefaultTiming(), peers)
+	f := New("a", holder.DefaultTiming(), peers, nil)
 	order := holder.Order{
 		ID: "j", Service: "s", Objective: time.Second, Remaining: 5 * time.Second,
 		Steps: []holder.Step{{Count: 2, Needs: holder.Capacity{MilliCores: 1000}, Estimate: 100 * time.Millisecond}},
@@ -53,7 +53,7 @@
 		}
 		peers.HandleHeartbeat(now, heartbeat, "")
 	}
-	f := New("a", holder.DefaultTiming(), peers)
+	f := New("a", holder.DefaultTiming(), peers, nil)
 	var out Effects
 	f.Submit(now, holder.Order{
 		ID: "j", Service: "s", Objective: 200 * time.Millisecond, Remaining: 5 * time.Second,
--- a/internal/forwarder/relay_test.go
+++ b/internal/forwarder/relay_test.go
@@ -54,7 +54,7 @@
 	peers := tracker.New("entry")
 	peers.HandleHeartbeat(now, tracker.Heartbeat{VM: "other", Incarnation: "1"}, "")
 	peers.HandleHeartbeat(now, holderHeartbeat(), "other")
-	f := New("a", holder.DefaultTiming(), peers)
+	f := New("a", holder.DefaultTiming(), peers, nil)
 	var out Effects
 	f.Submit(now, holder.Order{
 		ID: "j", Service: "s", Objective: time.Second, Remaining: 5 * time.Second,
--- a/internal/forwarder/splitter.go
+++ b/internal/forwarder/splitter.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"bronzedrift.example/bronzedrift/internal/balancer"
 	"bronzedrift.example/bronzedrift/internal/holder"
 )
 
@@ -16,6 +17,8 @@
 	// freeSlots is the number of tasks of the job's size that the holder can start now.
 	freeSlots int
 	wait      time.Duration
+	// digest is what the balancer is given.
+	digest balancer.Digest
 }
 
 // candidates returns the reachable holders that have upstreams, best first. The sort keys
@@ -27,6 +30,27 @@
 //
 // Free slots do not include those for orders sent since the holder's last heartbeat.
 func (f *Forwarder) candidates(now time.Time, o *holder.Order, n int, except []string) []candidate {
+	list := f.holders(now, o, except)
+	hasCapacity := func(c candidate) bool { return c.freeSlots >= n && c.wait == 0 }
+	sort.SliceStable(list, func(i, k int) bool {
+		a, b := list[i], list[k]
+		switch {
+		case hasCapacity(a) != hasCapacity(b):
+			return hasCapacity(a)
+		case a.hasDataRack != b.hasDataRack:
+			return a.hasDataRack
+		case hasCapacity(a) && a.isLocal != b.isLocal:
+			return a.isLocal
+		case !hasCapacity(a) && a.wait != b.wait:
+			return a.wait < b.wait
+		}
+		return a.freeSlots > b.freeSlots
+	})
+	return list
+}
+
+// holders returns the reachable holders that have upstreams.
+func (f *Forwarder) holders(now time.Time, o *holder.Order, except []string) []candidate {
 	step := &o.Steps[0]
 	var list []candidate
 	for _, p := range f.peers.Reachable(now) {
@@ -43,31 +67,40 @@
 			hasDataRack: step.DataRack != "" && slices.Contains(p.Load.Racks, step.DataRack),
 			freeSlots:   p.Load.FreeSlotsFor(step.Needs.MilliCores) - int(s.milliCores/max(1, step.Needs.MilliCores)),
 			wait:        p.Load.Backlog,
+			digest: balancer.Digest{
+				Holder: p.VM, DataCentre: p.DataCentre, Age: now.Sub(p.ReceivedAt) + linkDelay,
+				FreeSlots: p.Load.FreeSlotsFor(step.Needs.MilliCores), Total: int(p.Load.TotalMilliCores / max(1, step.Needs.MilliCores)),
+				Backlog: p.Load.Backlog, HasData: step.DataRack != "" && slices.Contains(p.Load.Racks, step.DataRack),
+				SentTasks: int(s.milliCores / max(1, step.Needs.MilliCores)),
+			},
 		})
 	}
-	hasCapacity := func(c candidate) bool { return c.freeSlots >= n && c.wait == 0 }
-	sort.SliceStable(list, func(i, k int) bool {
-		a, b := list[i], list[k]
-		switch {
-		case hasCapacity(a) != hasCapacity(b):
-			return hasCapacity(a)
-		case a.hasDataRack != b.hasDataRack:
-			return a.hasDataRack
-		case hasCapacity(a) && a.isLocal != b.isLocal:
-			return a.isLocal
-		case !hasCapacity(a) && a.wait != b.wait:
-			return a.wait < b.wait
-		}
-		return a.freeSlots > b.freeSlots
-	})
 	return list
 }
 
+// linkDelay is the assumed delay of a heartbeat, which does not carry the time at which it
+// was sent.
+const linkDelay = 2 * time.Millisecond
+
+// assign lets the balancer choose the holders for tasks of an order.
+func (f *Forwarder) assign(now time.Time, o *holder.Order, list []candidate, maySplit bool) []balancer.Assignment {
+	digests := make([]balancer.Digest, len(list))
+	for i := range list {
+		digests[i] = list[i].digest
+	}
+	return f.balancer.Assign(now, balancer.Request{
+		DataCentre: f.dataCentre, Tasks: o.Steps[0].Count, RunTime: o.Steps[0].Estimate, MaySplit: maySplit,
+	}, digests)
+}
+
 // chooseHolder returns the best holder for a part, or an empty string if there is none.
 // After a first refusal it skips holders that would also refuse the part according to
 // their last heartbeat, since under load each order that is refused takes time from other
 // orders. Urgent jobs are offered to these holders too.
 func (f *Forwarder) chooseHolder(now time.Time, p *part) string {
+	if f.balancer != nil {
+		return f.drawHolder(now, p)
+	}
 	list := f.candidates(now, &p.order, p.order.Steps[0].Count, p.triedHolders)
 	for _, c := range list {
 		if len(p.triedHolders) == 0 || p.order.IsUrgent() || c.wait+p.order.CriticalPath() <= p.order.Objective {
@@ -77,6 +110,34 @@
 	return ""
 }
 
+// drawHolder is chooseHolder with a balancer.
+func (f *Forwarder) drawHolder(now time.Time, p *part) string {
+	list := slices.DeleteFunc(f.holders(now, &p.order, p.triedHolders), func(c candidate) bool {
+		return len(p.triedHolders) > 0 && !p.order.IsUrgent() && c.wait+p.order.CriticalPath() > p.order.Objective
+	})
+	if assignments := f.assign(now, &p.order, list, false); len(assignments) > 0 {
+		return assignments[0].Holder
+	}
+	return ""
+}
+
+// divide splits a job as the balancer decides.
+func (f *Forwarder) divide(now time.Time, j *job) {
+	step := &j.order.Steps[0]
+	maySplit := len(j.order.Steps) == 1 && step.PerUpstream == 0 && step.DataRack == ""
+	assignments := f.assign(now, &j.order, f.holders(now, &j.order, nil), maySplit)
+	if len(assignments) < 2 {
+		j.addPart(0, step.Count, "")
+		if len(assignments) == 1 {
+			j.parts[0].holder = assignments[0].Holder
+		}
+		return
+	}
+	for _, a := range assignments {
+		j.addPart(a.First, a.Tasks, a.Holder)
+	}
+}
+
 // minSplitPercent is the percentage of a job's tasks that must find free slots now for the
 // job to be split. Below it, one holder decides on the whole job.
 const minSplitPercent = 50
@@ -86,6 +147,10 @@
 // there are fewer free slots than tasks in all, each holder gets a share of the tasks in
 // proportion to its free slots, and the last one the rest.
 func (f *Forwarder) split(now time.Time, j *job) {
+	if f.balancer != nil {
+		f.divide(now, j)
+		return
+	}
 	n := j.order.Steps[0].Count
 	list := f.candidates(now, &j.order, n, nil)
 	total := 0
--- a/internal/forwarder/world_test.go
+++ b/internal/forwarder/world_test.go
@@ -197,7 +197,7 @@
 		// MaxRunAfterLoss adds constants to Silence. This makes its result zero.
 		timing.Silence = -timing.MaxRunAfterLoss()
 	}
-	e.forwarder = New(e.dataCentre, timing, e.peers)
+	e.forwarder = New(e.dataCentre, timing, e.peers, nil)
 	e.jobsByWaiter = map[uint64]string{}
 }
 
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bronzedrift.example/bronzedrift/internal/evacuator"
+	"bronzedrift.example/bronzedrift/internal/planner"
 	"bronzedrift.example/bronzedrift/internal/quarantiner"
 )
 
@@ -28,6 +29,8 @@
 	// EvacuationDeadline is the time from the acknowledgement of an evacuation after which no
 	// task may start in the data centre; zero means DefaultEvacuationDeadline.
 	EvacuationDeadline time.Duration
+	// LooksAhead lets tasks that fit nowhere reserve capacity that is expected to come free.
+	LooksAhead bool
 }
 
 // Peer is a reachable VM.
@@ -75,7 +78,12 @@
 	// losses are the recent losses of upstreams with runs, oldest first.
 	losses    []recentLoss
 	evacuator *evacuator.Evacuator
-	out       *Effects
+	// planner is nil if placement does not look ahead. servers and serverRuns are reused
+	// between its calls.
+	planner    *planner.Planner
+	servers    []planner.Server
+	serverRuns []planner.Run
+	out        *Effects
 }
 
 // entry is a VM that submits jobs.
@@ -115,12 +123,16 @@
 	if deadline <= 0 {
 		deadline = DefaultEvacuationDeadline
 	}
-	return &Holder{
+	h := &Holder{
 		evacuator: evacuator.New(evacuator.Config{Deadline: deadline}),
 		config:    c, upstreams: map[string]*trackedUpstream{}, jobs: map[Key]*job{},
 		answers: map[Key]cachedAnswer{}, cancelled: map[string]time.Time{}, withdrawn: map[Key]withdrawal{}, entries: map[string]*entry{},
 		quarantine: quarantiner.New(), hotKinds: map[string]bool{}, probableBusy: map[string]int{},
 	}
+	if c.LooksAhead {
+		h.planner = planner.New(planner.Config{SizeClasses: SizeClasses})
+	}
+	return h
 }
 
 // EntrySeen records that an entry was running at the given time, which is when it sent
--- a/internal/holder/job.go
+++ b/internal/holder/job.go
@@ -32,6 +32,8 @@
 	nextRun  int
 	failures int
 	avoid    []string
+	// reservedOn is the upstream of the latest reservation, for the log.
+	reservedOn string
 }
 
 // run is one start of a task on an upstream.
--- a/internal/holder/place.go
+++ b/internal/holder/place.go
@@ -19,6 +19,7 @@
 	}
 	h.needsPlacement = false
 	slices.SortStableFunc(h.queue, func(a, b *job) int { return comparePrecedence(now, a, b) })
+	h.beginReservations(now)
 	remaining := h.queue[:0:0]
 	unplaced := unplaceable{}
 	for i, j := range h.queue {
@@ -86,6 +87,7 @@
 		step := &j.Steps[t.step]
 		if unplaced.excludes(j, step) {
 			isWaiting = true
+			h.reserve(now, t, step)
 			return false
 		}
 		u, isFull := h.chooseUpstream(now, t)
@@ -93,6 +95,7 @@
 			isWaiting = true
 			if isFull {
 				unplaced[taskClass{j.Service, step.Label}] = step.Needs
+				h.reserve(now, t, step)
 			}
 			return false
 		}
@@ -124,7 +127,7 @@
 			continue
 		}
 		isFull = false
-		if !h.mayRun(u, t, step) {
+		if !h.mayRun(u, t, step) || !h.leavesReservation(now, u, t, step) {
 			continue
 		}
 		rank := h.rank(now, u, t, step)
--- a/internal/recorder/decision.go
+++ b/internal/recorder/decision.go
@@ -54,6 +54,7 @@
 	"common-loss":        875,
 	"upstream-isolated":  876,
 	"evacuation-step":    877,
+	"capacity-reserved":  854,
 }
 
 // DecisionNumber returns the number of a decision, or zero for an unknown name.
