Sharer: a shorter queue where jobs start in the order of their arrival

Cause: the wait aimed at is the mean slack, which suits a holder, where jobs with little slack pass the others. Change: with Config.ByArrival the wait aimed at is the shortest slack of a kind with 1% of the demand or more.

--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -51,6 +51,9 @@
 type Config struct {
 	// Random returns numbers in [0, 1) that spread RetryAfter; nil is math/rand.
 	Random func() float64
+	// ByArrival is set if waiting jobs start in the order of their arrival, and not by the
+	// latest start that meets their objective. Then the queue has to be shorter.
+	ByArrival bool
 }
 
 // Sharer keeps the demand of the kinds and origins; it is not safe for concurrent use.
--- a/internal/sharer/sharer_test.go
+++ b/internal/sharer/sharer_test.go
@@ -341,6 +341,34 @@
 	})
 }
 
+// TestTargetWait guards against a queue that is too long for the kinds that wait in it.
+func TestTargetWait(t *testing.T) {
+	offer := func(s *Sharer, kind string, slack time.Duration, work float64) {
+		s.Offer(start, Request{Kind: kind, Work: work, Slack: slack}, 0)
+	}
+	for name, c := range map[string]struct {
+		byArrival     bool
+		short, target time.Duration
+		shortWork     float64
+	}{
+		"the mean slack by work":                                {false, 100 * time.Millisecond, 200 * time.Millisecond, 50},
+		"the shortest slack, in order of arrival":               {true, 100 * time.Millisecond, 100 * time.Millisecond, 50},
+		"not the slack of a rare kind, in order of arrival":     {true, 100 * time.Millisecond, 300 * time.Millisecond, 0.1},
+		"at least minTargetWait":                                {true, time.Millisecond, minTargetWait, 50},
+		"at most maxTargetWait":                                 {false, time.Hour, maxTargetWait, 50},
+		"not the slack of a kind without one, by arrival order": {true, 0, 300 * time.Millisecond, 50},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := New(Config{ByArrival: c.byArrival})
+			offer(s, "short", c.short, c.shortWork)
+			offer(s, "long", 300*time.Millisecond, 50)
+			s.SetCapacity(start, 200)
+			s.updateShares(start)
+			assert.InDelta(t, c.target, s.targetWait(), float64(time.Millisecond))
+		})
+	}
+}
+
 // TestCredit guards against capacity that stands idle, against work that must run but isn't
 // charged, and against origins that save up credit or debt without limit.
 func TestCredit(t *testing.T) {
--- a/internal/sharer/shares.go
+++ b/internal/sharer/shares.go
@@ -8,6 +8,10 @@
 	// the trace left 0.5 to 0.9% more of the capacity unused.
 	minTargetWait = 10 * time.Millisecond
 	maxTargetWait = 400 * time.Millisecond
+	// minTargetShare is the part of the demand of which the shortest slack counts if jobs
+	// start in the order of their arrival. The wait aimed at is then that slack: with the
+	// mean slack, half as many jobs of the trace were on time as without shares.
+	minTargetShare = 0.01
 	// waitHorizon is the time in which a difference from the wait aimed at is corrected.
 	// With 50 ms, the trace refused origins within their share more often.
 	waitHorizon = 200 * time.Millisecond
@@ -69,15 +73,21 @@
 
 // targetWait is the expected wait aimed at during overload.
 func (s *Sharer) targetWait() time.Duration {
-	slack, total := 0.0, 0.0
+	slack, total, shortest := 0.0, 0.0, maxTargetWait.Seconds()
 	for i, k := range s.kinds {
 		slack += s.kindClaims[i].demand * k.slack
 		total += s.kindClaims[i].demand
 	}
-	if total == 0 {
-		return minTargetWait
+	for i, k := range s.kinds {
+		if s.kindClaims[i].demand >= minTargetShare*total && k.slack > 0 {
+			shortest = min(shortest, k.slack)
+		}
+	}
+	seconds := slack / max(total, 1e-9)
+	if s.config.ByArrival {
+		seconds = shortest
 	}
-	return min(max(minTargetWait, time.Duration(slack/total*float64(time.Second))), maxTargetWait)
+	return min(max(minTargetWait, time.Duration(seconds*float64(time.Second))), maxTargetWait)
 }
 
 // learnScale corrects the ratio of the true capacity to the one announced: the queue shrinks
