--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -57,6 +57,8 @@
 	EvacuationDeadline time.Duration
 	// LooksAhead lets waiting tasks reserve capacity that is expected to come free.
 	LooksAhead bool
+	// SharesCapacity gives each kind of job and each data centre its share under overload.
+	SharesCapacity bool
 	// BalancesLoad lets entries draw the holder of a job in proportion to the free slots that
 	// holders probably have, instead of taking the one that reports the most.
 	BalancesLoad bool
@@ -202,7 +204,7 @@
 func holderConfig(c *Config) holder.Config {
 	h := holder.Config{
 		VM: c.Inner.String(), DataCentre: c.DataCentre, Timing: c.Timing, TokenEpoch: tokenEpoch, MaxTakeAttempts: maxTakeAttempts,
-		RetakeDelay: retakeDelay, EvacuationDeadline: c.EvacuationDeadline, LooksAhead: c.LooksAhead,
+		RetakeDelay: retakeDelay, EvacuationDeadline: c.EvacuationDeadline, LooksAhead: c.LooksAhead, SharesCapacity: c.SharesCapacity,
 	}
 	if !c.IsState {
 		h.MaxTakeAttempts = math.MaxInt
--- a/internal/conductor/decoder.go
+++ b/internal/conductor/decoder.go
@@ -53,7 +53,7 @@
 		ID: w.GetId(), Request: w.GetRequest(), Attempt: int(w.GetAttempt()), Route: w.GetRoute(), Service: w.GetService(),
 		Spec: w.GetSpec(), MaxAttempts: int(w.GetMaxAttempts()), Objective: time.Duration(w.GetObjective()),
 		Remaining: time.Duration(w.GetRemaining()), Priority: int(w.GetPriority()), AcceptLate: w.GetAcceptLate(),
-		Part: int(w.GetPart()), First: int(w.GetFirst()), Force: w.GetForce(),
+		Part: int(w.GetPart()), First: int(w.GetFirst()), Force: w.GetForce(), Origin: w.GetOrigin(),
 	}
 	tasks := uint64(0)
 	for i, s := range w.GetSteps() {
--- a/internal/conductor/encoder.go
+++ b/internal/conductor/encoder.go
@@ -47,7 +47,7 @@
 		Id: o.ID, Request: o.Request, Attempt: uint32(o.Attempt), Route: o.Route, Service: o.Service, Spec: o.Spec,
 		MaxAttempts: uint32(o.MaxAttempts), Objective: int64(o.Objective), Remaining: int64(o.Remaining),
 		Priority: int32(o.Priority), AcceptLate: o.AcceptLate,
-		Part: uint32(o.Part), First: uint32(o.First), Force: o.Force,
+		Part: uint32(o.Part), First: uint32(o.First), Force: o.Force, Origin: o.Origin,
 	}
 	for _, s := range o.Steps {
 		step := &wire.JobStep{
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -260,6 +260,7 @@
 
 func (f *Forwarder) sendOrder(now time.Time, p *part) {
 	o := p.order
+	o.Origin = f.dataCentre
 	waited := now.Sub(p.job.arrivedAt)
 	o.Remaining = p.job.order.Remaining - waited
 	o.Objective = max(p.job.order.Objective-waited, time.Millisecond)
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -8,6 +8,7 @@
 	"bronzedrift.example/bronzedrift/internal/evacuator"
 	"bronzedrift.example/bronzedrift/internal/planner"
 	"bronzedrift.example/bronzedrift/internal/quarantiner"
+	"bronzedrift.example/bronzedrift/internal/sharer"
 )
 
 // Config holds the settings of a Holder.
@@ -31,6 +32,8 @@
 	EvacuationDeadline time.Duration
 	// LooksAhead lets tasks that fit nowhere reserve capacity that is expected to come free.
 	LooksAhead bool
+	// SharesCapacity gives each kind of job and each origin its fair share under overload.
+	SharesCapacity bool
 }
 
 // Peer is a reachable VM.
@@ -83,7 +86,9 @@
 	planner    *planner.Planner
 	servers    []planner.Server
 	serverRuns []planner.Run
-	out        *Effects
+	// sharer is nil if capacity is not shared out under overload.
+	sharer *sharer.Sharer
+	out    *Effects
 }
 
 // entry is a VM that submits jobs.
@@ -132,6 +137,9 @@
 	if c.LooksAhead {
 		h.planner = planner.New(planner.Config{SizeClasses: SizeClasses})
 	}
+	if c.SharesCapacity {
+		h.sharer = sharer.New(sharer.Config{})
+	}
 	return h
 }
 
@@ -191,6 +199,7 @@
 		h.lastAssignAt = now
 		h.assignUpstreams(now)
 		h.purgeExpired(now)
+		h.shareCapacity(now)
 	}
 	if now.Sub(h.lastNoticeAt) >= noticeInterval {
 		h.lastNoticeAt = now
--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -107,12 +107,18 @@
 	if !o.Force && h.isConfined(o, wait) {
 		return &Answer{Outcome: Busy, Reason: "its kind of job crashes upstreams", Wait: confinedWait}
 	}
+	if refusal := h.checkShare(now, o, wait); refusal != nil {
+		return refusal
+	}
 	limit := o.Objective
 	if o.AcceptLate {
 		limit = min(lateAdmissionTenths*o.Objective/10, o.Remaining)
 	}
 	if !o.Force && wait > 0 && wait+o.CriticalPath() > limit {
 		h.evacuator.NoteShortage()
+		if h.sharer != nil {
+			h.sharer.Return(now, h.shareRequest(o))
+		}
 		return &Answer{Outcome: Busy, Reason: "queue", Wait: wait}
 	}
 	return nil
--- a/internal/holder/order.go
+++ b/internal/holder/order.go
@@ -25,6 +25,9 @@
 	Priority  int
 	// AcceptLate asks to accept the job though it will miss its objective.
 	AcceptLate bool
+	// Origin is the data centre of the entry, or the team of the caller: those who share the
+	// capacity under overload.
+	Origin string
 	// Force asks to accept a part however long it has to wait, since other parts of its
 	// job are running.
 	Force bool
