--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -107,7 +107,7 @@
 	if !o.Force && h.isConfined(o, wait) {
 		return &Answer{Outcome: Busy, Reason: "its kind of job crashes upstreams", Wait: confinedWait}
 	}
-	if refusal := h.checkShare(now, o, wait); refusal != nil {
+	if refusal, isDecided := h.checkShare(now, o, wait); isDecided {
 		return refusal
 	}
 	limit := o.Objective
--- a/internal/holder/share.go
+++ b/internal/holder/share.go
@@ -35,17 +35,19 @@
 	}
 }
 
-// checkShare returns the refusal of an order that is beyond its share of the capacity under
-// overload, or nil. What it admits has to be given back if the order is refused after all.
-func (h *Holder) checkShare(now time.Time, o *Order, wait time.Duration) *Answer {
+// checkShare returns the refusal of an order that is beyond its share of the capacity, or nil,
+// and whether that decides: under overload the shares do, since a bound on the queue refuses
+// whoever comes last. What it admits otherwise has to be given back if the order is refused
+// after all.
+func (h *Holder) checkShare(now time.Time, o *Order, wait time.Duration) (refusal *Answer, isDecided bool) {
 	if h.sharer == nil {
-		return nil
+		return nil, false
 	}
 	v := h.sharer.Offer(now, h.shareRequest(o), wait)
-	if v.Admit {
-		return nil
+	if !v.Admit {
+		return &Answer{Outcome: Busy, Reason: v.Reason, Wait: v.RetryAfter}, true
 	}
-	return &Answer{Outcome: Busy, Reason: v.Reason, Wait: v.RetryAfter}
+	return nil, h.sharer.Overloaded(now)
 }
 
 // Shares returns the shares of the kinds of jobs and their origins, nil if none are kept.
