Readers of a closed session no longer poll until its receive loop has ended

Cause: yamux wakes the blocked calls of a stream when a session shuts down, before the stream is marked as closed; until the receive loop has ended they poll without a pause. On a VM with one core the polling takes the time that the receive loop needs. A VM loses all its sessions at once when a partition or a kill comes, which is when its processor is needed most. Change: the connection below the session ends the calls on its stream by a passed deadline as yamux closes it, and a writer starts nothing on a closed session.

--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -127,16 +127,17 @@
 }
 
 func (l *link) dial(ctx context.Context) (*yamux.Stream, *yamux.Session, error) {
-	conn, err := l.connect(ctx)
+	tcp, err := l.connect(ctx)
 	if err != nil {
 		return nil, nil, fmt.Errorf("messenger: dialling %s: %w", l.peer.VM, err)
 	}
+	conn := &sessionConn{Conn: tcp}
 	session, err := yamux.Client(conn, l.messenger.sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, nil, fmt.Errorf("messenger: session with %s: %w", l.peer.VM, err)
 	}
-	stream, err := l.handshake(session)
+	stream, err := l.handshake(session, conn)
 	if err != nil {
 		_ = session.Close()
 		return nil, nil, err
@@ -172,11 +173,12 @@
 
 // handshake opens the stream of a session, sends the greeting and waits for the
 // peer's, which shows that the peer has accepted it.
-func (l *link) handshake(session *yamux.Session) (*yamux.Stream, error) {
+func (l *link) handshake(session *yamux.Session, conn *sessionConn) (*yamux.Stream, error) {
 	stream, err := session.OpenStream()
 	if err != nil {
 		return nil, fmt.Errorf("messenger: stream to %s: %w", l.peer.VM, err)
 	}
+	conn.stream.Store(stream)
 	c := l.messenger.config
 	greeting := &wire.Greeting{Vm: c.VM, DataCentre: c.DataCentre, Secret: c.Secret, Version: protocolVersion}
 	_ = stream.SetDeadline(time.Now().Add(handshakeTimeout))
@@ -199,7 +201,7 @@
 func (l *link) sendFrames(ctx context.Context, stream *yamux.Stream, session *yamux.Session) {
 	var buffer []byte
 	var sequence uint64
-	w := &progressWriter{stream: stream, timeout: l.messenger.silenceTimeout()}
+	w := &progressWriter{stream: stream, session: session, timeout: l.messenger.silenceTimeout()}
 	for {
 		select {
 		case <-ctx.Done():
@@ -225,11 +227,15 @@
 // narrow link may take longer than that as a whole.
 type progressWriter struct {
 	stream  *yamux.Stream
+	session *yamux.Session
 	timeout time.Duration
 }
 
 // Write implements io.Writer.
 func (w *progressWriter) Write(b []byte) (int, error) {
+	if w.session.IsClosed() {
+		return 0, yamux.ErrSessionShutdown
+	}
 	_ = w.stream.SetWriteDeadline(time.Now().Add(w.timeout))
 	return w.stream.Write(b)
 }
@@ -270,7 +276,8 @@
 
 // receive accepts a session that a peer dialled and passes its messages to the
 // handlers.
-func (m *Messenger) receive(ctx context.Context, conn net.Conn) {
+func (m *Messenger) receive(ctx context.Context, tcp net.Conn) {
+	conn := &sessionConn{Conn: tcp}
 	m.inboundConns.Store(conn, nil)
 	defer m.inboundConns.Delete(conn)
 	defer func() { _ = conn.Close() }()
@@ -283,6 +290,7 @@
 	if err != nil {
 		return
 	}
+	conn.stream.Store(stream)
 	reader := bufio.NewReaderSize(stream, readBufferBytes)
 	from, err := m.acceptHandshake(stream, reader)
 	if err != nil {
