Commander: config check

Cause: a configuration could only be checked by putting it into force. Change: `bronzedrift config check FILE` reports errors and findings with line and key and the differences from the version in force (--operators) or a file (--against), as text or JSON. Exit codes are 0 clean, 2 errors or unusable, 6 findings only. The main program passes in the decoder of the users' form (--form platform).

--- a/cmd/bronzedrift/main.go
+++ b/cmd/bronzedrift/main.go
@@ -9,11 +9,13 @@
 	"syscall"
 
 	"bronzedrift.example/bronzedrift/internal/commander"
+	"bronzedrift.example/bronzedrift/platform"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	err := commander.New().ExecuteContext(ctx)
+	forms := []commander.Form{{Name: "platform", Check: platform.CheckConfiguration}}
+	err := commander.New(forms...).ExecuteContext(ctx)
 	stop()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "bronzedrift:", err)
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -26,6 +26,7 @@
 	ExitNotRun         = 3
 	ExitOutcomeUnknown = 4
 	ExitConflict       = 5
+	ExitFindings       = 6
 )
 
 // ExitError is an error that sets the exit code of the process.
@@ -52,8 +53,9 @@
 	return ExitFailure
 }
 
-// New returns the root command with all subcommands.
-func New() *cobra.Command {
+// New returns the root command with all subcommands. The forms are those that `config
+// check` accepts besides the project's own.
+func New(forms ...Form) *cobra.Command {
 	root := &cobra.Command{
 		Use:           "bronzedrift",
 		Short:         "Operate bronzedrift, a dispatcher for sub-second tasks",
@@ -63,7 +65,7 @@
 	root.AddCommand(
 		newCheckCommand(), newDemoCommand(), newSubmitCommand(), newCancelCommand(),
 		newStatusCommand(), newUpstreamsCommand(), newTimelineCommand(), newDrainCommand(),
-		newAskCommand(), newConfigCommand(), newApplyCommand(), newVMCommand(), newExplainCommand(),
+		newAskCommand(), newConfigCommand(forms), newApplyCommand(), newVMCommand(), newExplainCommand(),
 	)
 	return root
 }
--- a/internal/commander/config.go
+++ b/internal/commander/config.go
@@ -32,9 +32,9 @@
 	} `json:"history"`
 }
 
-func newConfigCommand() *cobra.Command {
-	c := &cobra.Command{Use: "config", Short: "Show the configuration"}
-	c.AddCommand(newConfigShowCommand(), newConfigHistoryCommand(), newConfigDiffCommand())
+func newConfigCommand(forms []Form) *cobra.Command {
+	c := &cobra.Command{Use: "config", Short: "Show and check the configuration"}
+	c.AddCommand(newConfigShowCommand(), newConfigHistoryCommand(), newConfigDiffCommand(), newConfigCheckCommand(forms))
 	return c
 }
 
