Commander: config check orders the findings by line

Cause: the finding on the version came after those of later lines, and a summary read "1 errors". Change: findings are ordered together; the summary is a list of counts.

--- a/internal/commander/check.go
+++ b/internal/commander/check.go
@@ -177,6 +177,7 @@
 	return nil
 }
 
+// add adds findings, ordered by line together with those added before.
 func (r *checkJSON) add(findings []checker.Finding) {
 	for _, f := range findings {
 		encoded := findingJSON{Line: f.Line, Key: f.Key, Code: string(f.Code), Message: f.Message}
@@ -186,6 +187,7 @@
 		}
 		r.Findings = append(r.Findings, encoded)
 	}
+	slices.SortStableFunc(r.Findings, func(a, b findingJSON) int { return a.Line - b.Line })
 	r.Result = "clean"
 	if len(r.Findings) > 0 {
 		r.Result = "findings"
@@ -198,9 +200,9 @@
 func (r *checkJSON) exitError() error {
 	switch r.Result {
 	case "errors":
-		return &ExitError{ExitInvalidInput, fmt.Sprintf("%s: %d errors, %d findings", r.File, len(r.Errors), len(r.Findings))}
+		return &ExitError{ExitInvalidInput, fmt.Sprintf("%s: errors: %d, findings: %d", r.File, len(r.Errors), len(r.Findings))}
 	case "findings":
-		return &ExitError{ExitFindings, fmt.Sprintf("%s: %d findings", r.File, len(r.Findings))}
+		return &ExitError{ExitFindings, fmt.Sprintf("%s: findings: %d", r.File, len(r.Findings))}
 	}
 	return nil
 }
@@ -218,7 +220,7 @@
 	if r.Against == nil {
 		return nil
 	}
-	_, _ = fmt.Fprintf(out, "%d differences from %s, version %d\n", len(r.Differences), r.Against.Source, r.Against.Version)
+	_, _ = fmt.Fprintf(out, "differences from %s, version %d: %d\n", r.Against.Source, r.Against.Version, len(r.Differences))
 	for _, d := range r.Differences {
 		_, _ = fmt.Fprintf(out, "%s %s %q\n", d.Change, d.Kind, d.Name)
 		for _, field := range d.Fields {
