--- a/internal/keeper/cluster_test.go
+++ b/internal/keeper/cluster_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,7 +36,7 @@
 	intercept  func(from, to string, m *wire.StateMessage) bool
 	hold       bool
 	held       []func()
-	heartbeats bool
+	heartbeats atomic.Bool
 	latency    func() time.Duration
 }
 
@@ -67,7 +68,8 @@
 func inCluster(t *testing.T, states, entries int, test func(t *testing.T, c *testCluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		c := &testCluster{t: t, vms: map[string]*testVM{}, cut: map[string]bool{}, heartbeats: true, latency: func() time.Duration { return linkLatency }}
+		c := &testCluster{t: t, vms: map[string]*testVM{}, cut: map[string]bool{}, latency: func() time.Duration { return linkLatency }}
+		c.heartbeats.Store(true)
 		for i := range states {
 			name := fmt.Sprint("s", i+1)
 			c.states = append(c.states, name)
@@ -95,6 +97,18 @@
 	}
 }
 
+func (c *testCluster) keeper(name string) *Keeper {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.vms[name].keeper
+}
+
+func (c *testCluster) isUp(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.vms[name].stop != nil
+}
+
 func linkName(a, b string) string { return min(a, b) + "-" + max(a, b) }
 
 func (c *testCluster) isLinked(a, b string) bool {
@@ -127,18 +141,21 @@
 		Event:               vm.record,
 	})
 	require.NoError(c.t, err)
+	vm.mu.Lock()
+	vm.active = nil
+	vm.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { _ = k.Serve(ctx) })
 	running.Go(func() { c.beat(ctx, name, k) })
 	c.mu.Lock()
-	vm.keeper, vm.active = k, nil
+	vm.keeper = k
 	vm.stop = func() { cancel(); running.Wait() }
 	c.mu.Unlock()
 	for _, peer := range c.names() {
 		if peer != name && c.isLinked(name, peer) {
 			k.PeerUp(peer)
-			c.vms[peer].keeper.PeerUp(name)
+			c.keeper(peer).PeerUp(name)
 		}
 	}
 }
@@ -197,10 +214,10 @@
 		case <-ticker.C:
 		}
 		for _, to := range c.names() {
-			if !c.heartbeats || to == name || !c.isLinked(name, to) {
+			if !c.heartbeats.Load() || to == name || !c.isLinked(name, to) {
 				continue
 			}
-			if peer, revision := c.vms[to].keeper, k.Evacuations().Revision; revision > peer.Evacuations().Revision {
+			if peer, revision := c.keeper(to), k.Evacuations().Revision; revision > peer.Evacuations().Revision {
 				peer.RequestNewerEvacuations(name, revision)
 			}
 		}
@@ -218,7 +235,7 @@
 		if err := proto.Unmarshal(payload, received); err != nil || !c.isLinked(from, to) {
 			return
 		}
-		c.vms[to].keeper.Receive(from, received)
+		c.keeper(to).Receive(from, received)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -275,8 +292,8 @@
 	c.cut[linkName(a, b)] = !isUp
 	c.mu.Unlock()
 	if isUp && !wasUp && c.isLinked(a, b) {
-		c.vms[a].keeper.PeerUp(b)
-		c.vms[b].keeper.PeerUp(a)
+		c.keeper(a).PeerUp(b)
+		c.keeper(b).PeerUp(a)
 	}
 }
 
@@ -284,10 +301,10 @@
 func (c *testCluster) leader() string {
 	leader, term := "", uint64(0)
 	for _, name := range c.states {
-		if c.vms[name].stop == nil {
+		if !c.isUp(name) {
 			continue
 		}
-		status, _, err := c.vms[name].keeper.Status(context.Background())
+		status, _, err := c.keeper(name).Status(context.Background())
 		if err == nil && status.Role == replicator.Leader && status.Term > term {
 			leader, term = name, status.Term
 		}
@@ -298,7 +315,7 @@
 // follower returns a state VM that does not lead.
 func (c *testCluster) follower() string {
 	leader := c.leader()
-	return c.states[slices.IndexFunc(c.states, func(name string) bool { return name != leader && c.vms[name].stop != nil })]
+	return c.states[slices.IndexFunc(c.states, func(name string) bool { return name != leader && c.isUp(name) })]
 }
 
 // order gives an order at a VM and returns the record and how long it took.
@@ -306,7 +323,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	startedAt := time.Now()
-	e, err := c.vms[vm].keeper.Evacuate(ctx, dataCentre, active)
+	e, err := c.keeper(vm).Evacuate(ctx, dataCentre, active)
 	return e, time.Since(startedAt), err
 }
 
@@ -334,13 +351,13 @@
 	time.Sleep(settleTime)
 	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
 	defer cancel()
-	set, err := c.vms[c.follower()].keeper.ReadEvacuations(ctx)
+	set, err := c.keeper(c.follower()).ReadEvacuations(ctx)
 	require.NoError(c.t, err)
 	assert.Equal(c.t, active, activeIn(set))
 	for _, name := range c.names() {
-		if vm := c.vms[name]; vm.stop != nil {
+		if vm := c.vms[name]; c.isUp(name) {
 			assert.Equal(c.t, set, vm.inForce(c.t), name)
-			assert.Equal(c.t, set, vm.keeper.Evacuations(), name)
+			assert.Equal(c.t, set, c.keeper(name).Evacuations(), name)
 		}
 	}
 	return set
--- a/internal/keeper/evacuation_test.go
+++ b/internal/keeper/evacuation_test.go
@@ -169,7 +169,7 @@
 		inCluster(t, 3, 2, func(_ *testing.T, c *testCluster) {
 			vm := c.follower()
 			gate := make(chan struct{})
-			c.vms[vm].keeper.enqueue(input{run: func(time.Time) { <-gate }})
+			c.keeper(vm).enqueue(input{run: func(time.Time) { <-gate }})
 			c.mustFail(vm, "east", true)
 			c.mustOrder("e2", "east", false)
 			time.Sleep(settleTime)
@@ -197,7 +197,7 @@
 		})
 		result := make(chan error, 1)
 		go func() {
-			_, err := c.vms["e1"].keeper.Evacuate(lateContext{context.Background(), time.Now().Add(time.Second)}, "east", true)
+			_, err := c.keeper("e1").Evacuate(lateContext{context.Background(), time.Now().Add(time.Second)}, "east", true)
 			result <- err
 		}()
 		time.Sleep(2 * time.Second)
@@ -279,7 +279,7 @@
 	// VMs without heartbeats learn of the order only from the next leader.
 	t.Run("after the commit, nobody was told", func(t *testing.T) {
 		inCluster(t, 3, 2, func(_ *testing.T, c *testCluster) {
-			c.heartbeats = false
+			c.heartbeats.Store(false)
 			leader := c.leader()
 			c.drop(func(from, _ string, m *wire.StateMessage) bool { return from == leader && (isResponse(m) || isSet(m)) })
 			c.mustFail("e1", "east", true)
@@ -289,7 +289,7 @@
 	})
 	t.Run("after the acknowledgement, only the sender was told", func(t *testing.T) {
 		inCluster(t, 3, 3, func(t *testing.T, c *testCluster) {
-			c.heartbeats = false
+			c.heartbeats.Store(false)
 			leader := c.leader()
 			c.drop(func(from, _ string, m *wire.StateMessage) bool { return from == leader && isSet(m) })
 			c.mustOrder("e1", "east", true)
