--- a/internal/keeper/evacuation_recovery_test.go
+++ b/internal/keeper/evacuation_recovery_test.go
@@ -389,8 +389,10 @@
 // TestInvalidOrderIsRefused guards against an order that is sent though no leader accepts it.
 func TestInvalidOrderIsRefused(t *testing.T) {
 	f := openFollower(t, newMemoryDisk())
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
 	for _, name := range []string{"", "\xff"} {
-		_, err := f.Evacuate(context.Background(), name, true)
+		_, err := f.Evacuate(ctx, name, true)
 		assert.ErrorIs(t, err, configurer.ErrInvalidEvacuation)
 	}
 }
