--- a/internal/keeper/cluster_test.go
+++ b/internal/keeper/cluster_test.go
@@ -37,7 +37,8 @@
 	hold       bool
 	held       []func()
 	heartbeats atomic.Bool
-	latency    func() time.Duration
+	// link, if set, returns the delay of a message and whether it is lost.
+	link func(m *wire.StateMessage) (delay time.Duration, isLost bool)
 }
 
 // testVM is one VM of a testCluster. Its disk survives a restart, and is nil if the VM has
@@ -68,7 +69,7 @@
 func inCluster(t *testing.T, states, entries int, test func(t *testing.T, c *testCluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		c := &testCluster{t: t, vms: map[string]*testVM{}, cut: map[string]bool{}, latency: func() time.Duration { return linkLatency }}
+		c := &testCluster{t: t, vms: map[string]*testVM{}, cut: map[string]bool{}}
 		c.heartbeats.Store(true)
 		for i := range states {
 			name := fmt.Sprint("s", i+1)
@@ -230,6 +231,10 @@
 		c.t.Error("a message that cannot be encoded:", err)
 		return
 	}
+	if c.vms[to] == nil {
+		// A replica does not know the VM of a member that was removed meanwhile.
+		return
+	}
 	deliver := func() {
 		received := &wire.StateMessage{}
 		if err := proto.Unmarshal(payload, received); err != nil || !c.isLinked(from, to) {
@@ -245,7 +250,13 @@
 		}
 		return
 	}
-	time.AfterFunc(c.latency(), deliver)
+	if c.link == nil {
+		time.AfterFunc(linkLatency, deliver)
+		return
+	}
+	if delay, isLost := c.link(m); !isLost {
+		time.AfterFunc(delay, deliver)
+	}
 }
 
 // drop loses the messages that match from now on, and keep delays them until release.
@@ -284,6 +295,12 @@
 	}
 }
 
+func (c *testCluster) setLinks(link func(m *wire.StateMessage) (delay time.Duration, isLost bool)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.link = link
+}
+
 func (c *testCluster) heal() { c.partition() }
 
 func (c *testCluster) setLink(a, b string, isUp bool) {
