--- a/internal/keeper/cluster_test.go
+++ b/internal/keeper/cluster_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,8 +36,9 @@
 	intercept  func(from, to string, m *wire.StateMessage) bool
 	hold       bool
 	held       []func()
-	heartbeats bool
-	latency    func() time.Duration
+	heartbeats atomic.Bool
+	// link, if set, returns the delay of a message and whether it is lost.
+	link func(m *wire.StateMessage) (delay time.Duration, isLost bool)
 }
 
 // testVM is one VM of a testCluster. Its disk survives a restart, and is nil if the VM has
@@ -67,7 +69,8 @@
 func inCluster(t *testing.T, states, entries int, test func(t *testing.T, c *testCluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		c := &testCluster{t: t, vms: map[string]*testVM{}, cut: map[string]bool{}, heartbeats: true, latency: func() time.Duration { return linkLatency }}
+		c := &testCluster{t: t, vms: map[string]*testVM{}, cut: map[string]bool{}}
+		c.heartbeats.Store(true)
 		for i := range states {
 			name := fmt.Sprint("s", i+1)
 			c.states = append(c.states, name)
@@ -95,6 +98,18 @@
 	}
 }
 
+func (c *testCluster) keeper(name string) *Keeper {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.vms[name].keeper
+}
+
+func (c *testCluster) isUp(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.vms[name].stop != nil
+}
+
 func linkName(a, b string) string { return min(a, b) + "-" + max(a, b) }
 
 func (c *testCluster) isLinked(a, b string) bool {
@@ -127,18 +142,21 @@
 		Event:               vm.record,
 	})
 	require.NoError(c.t, err)
+	vm.mu.Lock()
+	vm.active = nil
+	vm.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { _ = k.Serve(ctx) })
 	running.Go(func() { c.beat(ctx, name, k) })
 	c.mu.Lock()
-	vm.keeper, vm.active = k, nil
+	vm.keeper = k
 	vm.stop = func() { cancel(); running.Wait() }
 	c.mu.Unlock()
 	for _, peer := range c.names() {
 		if peer != name && c.isLinked(name, peer) {
 			k.PeerUp(peer)
-			c.vms[peer].keeper.PeerUp(name)
+			c.keeper(peer).PeerUp(name)
 		}
 	}
 }
@@ -197,10 +215,10 @@
 		case <-ticker.C:
 		}
 		for _, to := range c.names() {
-			if !c.heartbeats || to == name || !c.isLinked(name, to) {
+			if !c.heartbeats.Load() || to == name || !c.isLinked(name, to) {
 				continue
 			}
-			if peer, revision := c.vms[to].keeper, k.Evacuations().Revision; revision > peer.Evacuations().Revision {
+			if peer, revision := c.keeper(to), k.Evacuations().Revision; revision > peer.Evacuations().Revision {
 				peer.RequestNewerEvacuations(name, revision)
 			}
 		}
@@ -213,12 +231,16 @@
 		c.t.Error("a message that cannot be encoded:", err)
 		return
 	}
+	if c.vms[to] == nil {
+		// A replica does not know the VM of a member that was removed meanwhile.
+		return
+	}
 	deliver := func() {
 		received := &wire.StateMessage{}
 		if err := proto.Unmarshal(payload, received); err != nil || !c.isLinked(from, to) {
 			return
 		}
-		c.vms[to].keeper.Receive(from, received)
+		c.keeper(to).Receive(from, received)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -228,7 +250,13 @@
 		}
 		return
 	}
-	time.AfterFunc(c.latency(), deliver)
+	if c.link == nil {
+		time.AfterFunc(linkLatency, deliver)
+		return
+	}
+	if delay, isLost := c.link(m); !isLost {
+		time.AfterFunc(delay, deliver)
+	}
 }
 
 // drop loses the messages that match from now on, and keep delays them until release.
@@ -267,6 +295,12 @@
 	}
 }
 
+func (c *testCluster) setLinks(link func(m *wire.StateMessage) (delay time.Duration, isLost bool)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.link = link
+}
+
 func (c *testCluster) heal() { c.partition() }
 
 func (c *testCluster) setLink(a, b string, isUp bool) {
@@ -275,8 +309,8 @@
 	c.cut[linkName(a, b)] = !isUp
 	c.mu.Unlock()
 	if isUp && !wasUp && c.isLinked(a, b) {
-		c.vms[a].keeper.PeerUp(b)
-		c.vms[b].keeper.PeerUp(a)
+		c.keeper(a).PeerUp(b)
+		c.keeper(b).PeerUp(a)
 	}
 }
 
@@ -284,10 +318,10 @@
 func (c *testCluster) leader() string {
 	leader, term := "", uint64(0)
 	for _, name := range c.states {
-		if c.vms[name].stop == nil {
+		if !c.isUp(name) {
 			continue
 		}
-		status, _, err := c.vms[name].keeper.Status(context.Background())
+		status, _, err := c.keeper(name).Status(context.Background())
 		if err == nil && status.Role == replicator.Leader && status.Term > term {
 			leader, term = name, status.Term
 		}
@@ -298,7 +332,7 @@
 // follower returns a state VM that does not lead.
 func (c *testCluster) follower() string {
 	leader := c.leader()
-	return c.states[slices.IndexFunc(c.states, func(name string) bool { return name != leader && c.vms[name].stop != nil })]
+	return c.states[slices.IndexFunc(c.states, func(name string) bool { return name != leader && c.isUp(name) })]
 }
 
 // order gives an order at a VM and returns the record and how long it took.
@@ -306,7 +340,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	startedAt := time.Now()
-	e, err := c.vms[vm].keeper.Evacuate(ctx, dataCentre, active)
+	e, err := c.keeper(vm).Evacuate(ctx, dataCentre, active)
 	return e, time.Since(startedAt), err
 }
 
@@ -334,13 +368,13 @@
 	time.Sleep(settleTime)
 	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
 	defer cancel()
-	set, err := c.vms[c.follower()].keeper.ReadEvacuations(ctx)
+	set, err := c.keeper(c.follower()).ReadEvacuations(ctx)
 	require.NoError(c.t, err)
 	assert.Equal(c.t, active, activeIn(set))
 	for _, name := range c.names() {
-		if vm := c.vms[name]; vm.stop != nil {
+		if vm := c.vms[name]; c.isUp(name) {
 			assert.Equal(c.t, set, vm.inForce(c.t), name)
-			assert.Equal(c.t, set, vm.keeper.Evacuations(), name)
+			assert.Equal(c.t, set, c.keeper(name).Evacuations(), name)
 		}
 	}
 	return set
