Evacuator: a VM that learns late of an evacuation closes by the deadline

Cause: a holder counted the steps of an evacuation from when it learned of it, however late that was. One that was frozen or cut off, or whose disk had an older set, started tasks in the evacuated data centre for half of the deadline after it was back in contact, later than the deadline after the acknowledgement.

Change: the steps count from half of the deadline after the order at the latest. An order that is older than the deadline closes the data centre as it is learned of. Clocks of VMs that differ by less than half of the deadline do not affect the steps of an order that comes in time.

--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -45,7 +45,8 @@
 type dataCentre struct {
 	phase    phase
 	revision uint64
-	// changedAt is when this VM learned of the latest change.
+	// changedAt is when this VM learned of the latest change, or before that if an evacuation
+	// would otherwise miss its deadline.
 	changedAt time.Time
 	// openSteps of the steps upstreams are open; stepAt is when the latest step was taken.
 	openSteps int
@@ -70,7 +71,8 @@
 	steps = 8
 	// closingShare is the part of the deadline in which the steps are taken, and
 	// startedShare the part in which jobs that have started may still start tasks. The rest is
-	// for VMs that learn of the evacuation late: they count from when they learn of it.
+	// for VMs that learn of the evacuation late: they count from when they learn of it, and at
+	// the latest from the end of the rest.
 	closingShare = 0.25
 	startedShare = 0.5
 	// minStep is the shortest time between two steps of a return. It covers the run of a short
@@ -137,10 +139,21 @@
 	if d.phase == closing || d.phase == evacuated {
 		return
 	}
-	d.phase, d.changedAt, d.stepAt = closing, now, now
+	since := now.Add(-e.lateness(now, v.ChangedAt))
+	d.phase, d.changedAt, d.stepAt = closing, since, since
 	if isFirst {
 		d.phase, d.openSteps, d.changedAt = evacuated, 0, time.Time{}
+		return
 	}
+	e.close(now, d)
+}
+
+// lateness returns by how much this VM has learned of an order later than the time that the
+// deadline leaves for that. The wall clock of the VM that proposed the order may differ by as much
+// as that time before the steps are affected.
+func (e *Evacuator) lateness(now, orderedAt time.Time) time.Duration {
+	late := now.Sub(orderedAt) - e.share(1-startedShare)
+	return min(max(0, late), e.config.Deadline)
 }
 
 // startReturn opens the first step, or goes on from the steps that are still open.
--- a/internal/evacuator/evacuator_test.go
+++ b/internal/evacuator/evacuator_test.go
@@ -74,6 +74,27 @@
 	assert.Equal(t, 400, count(e, "a")[Closed])
 }
 
+// TestLateVMClosesByTheDeadline guards against starts after the deadline on a VM that was cut off
+// or frozen when the order was given, or whose disk had an older set.
+func TestLateVMClosesByTheDeadline(t *testing.T) {
+	for _, late := range []time.Duration{0, deadline / 2, deadline * 6 / 10, deadline * 9 / 10, deadline, time.Hour} {
+		t.Run(late.String(), func(t *testing.T) {
+			e := running()
+			learntAt := start.Add(late)
+			e.Update(learntAt, evacuation(1, "a", true, start))
+			if late <= deadline/2 {
+				assert.Equal(t, 400, count(e, "a")[Open], "closed at one stroke though there is time")
+			}
+			if late >= deadline {
+				assert.Equal(t, 400, count(e, "a")[Closed], "as it learns of the order")
+				return
+			}
+			tick(e, learntAt, deadline-late, nil)
+			assert.Equal(t, 400, count(e, "a")[Closed], "at the deadline")
+		})
+	}
+}
+
 // TestReturn guards against work that returns to cold upstreams at one stroke, and against
 // capacity that stays unused since runs are slow for another reason.
 func TestReturn(t *testing.T) {
