Holder: jobs that fit only evacuated upstreams do not wait at their holder

Cause: whether an evacuation had closed the upstreams of a job was decided by service alone. At a holder with open upstreams left (of another data centre, or in the first steps), a job whose tasks need more capacity or another label than those have was kept: one that had not started until it could not end in time, one that had started until the deadline of its caller.

Change: only upstreams that fit the tasks of a step count, and only steps that are not done.

Result: TestJobThatFitsOnlyClosedUpstreams fails without the change and passes with it. TestDoneStepOnClosedUpstreams guards against giving up a job for a step that is done.

--- a/internal/holder/evacuation.go
+++ b/internal/holder/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"bronzedrift.example/bronzedrift/internal/configurer"
@@ -49,12 +50,33 @@
 	return u.access == evacuator.Open || u.access == evacuator.StartedJobs && j.started
 }
 
-// isClosedTo reports whether an evacuation has closed all held upstreams of a service to jobs,
-// or to those that have started.
-func (h *Holder) isClosedTo(service string, started bool) bool {
+// isClosedTo reports whether an evacuation has closed all held upstreams that fit one of the
+// steps of an order.
+func (h *Holder) isClosedTo(o *Order) bool {
+	for i := range o.Steps {
+		if h.isStepClosed(o, i, false) {
+			return true
+		}
+	}
+	return false
+}
+
+// isClosedToRest is isClosedTo for the steps of a job that are not done.
+func (h *Holder) isClosedToRest(j *job) bool {
+	for s, tasks := range j.steps {
+		isDone := !slices.ContainsFunc(tasks, func(t *task) bool { return !t.done })
+		if !isDone && h.isStepClosed(&j.Order, s, j.started) {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Holder) isStepClosed(o *Order, step int, started bool) bool {
+	s := &o.Steps[step]
 	isHeld := false
 	for _, u := range h.upstreams {
-		if u.phase != active || u.Service != service {
+		if u.phase != active || u.Service != o.Service || !u.hasLabel(s.Label) || !s.Needs.fitsIn(u.Capacity) {
 			continue
 		}
 		if u.access == evacuator.Open || u.access == evacuator.StartedJobs && started {
--- /dev/null
+++ b/internal/holder/evacuation_test.go
@@ -0,0 +1,84 @@
+package holder
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"bronzedrift.example/bronzedrift/internal/configurer"
+)
+
+// evacuated returns the set in which a data centre has been evacuated for a minute.
+func evacuated(dataCentre string, now time.Time) configurer.EvacuationSet {
+	return configurer.EvacuationSet{Revision: 1, Evacuations: []configurer.Evacuation{
+		{DataCentre: dataCentre, Active: true, Revision: 1, ChangedAt: now.Add(-time.Minute)},
+	}}
+}
+
+// TestJobThatFitsOnlyClosedUpstreams guards against jobs that wait until their deadline at a
+// holder that has open upstreams left, none of which can run them.
+func TestJobThatFitsOnlyClosedUpstreams(t *testing.T) {
+	for name, started := range map[string]bool{"waits for its first task": false, "has started": true} {
+		t.Run(name, func(t *testing.T) {
+			h, now := newActiveFleet(t, 16_000, 48_000)
+			h.upstreams["u1"].DataCentre = "b"
+			var out Effects
+			count := 2
+			if !started {
+				count = 1
+				on, _ := submitAt(h, now, routeOrder("runs", "r", 1, 40_000))
+				require.Equal(t, []string{"u1"}, on)
+			}
+			order := routeOrder("large", "r", count, 32_000)
+			order.Force = true
+			on, replies := submitAt(h, now, order)
+			require.Empty(t, replies)
+			require.Len(t, on, count-1)
+			now = now.Add(10 * time.Millisecond)
+			h.SetEvacuations(now, evacuated("b", now), &out)
+			if started {
+				u := h.upstreams["u1"]
+				h.HandleResult(now, &CallResult{
+					Call: Call{Kind: HoldCall, Upstream: "u1", Token: u.token, SentAt: now}, Status: CallOK, Clock: 2 * time.Second, StartedAt: testStart,
+					Ended: []RunEnd{{Number: 1, Task: "large.0.0.0", Run: 1, How: EndDone}},
+				}, &out)
+			}
+			for range 10 {
+				now = now.Add(20 * time.Millisecond)
+				h.EntrySeen(now, "entry", "1", &out)
+				h.Tick(now, &out)
+			}
+			require.Len(t, out.Replies, 1, "still waits")
+			a := out.Replies[0].Answer
+			assert.Equal(t, "large", a.ID)
+			assert.Equal(t, started, a.Started)
+			if started {
+				assert.Equal(t, Lost, a.Outcome)
+				return
+			}
+			assert.Equal(t, Busy, a.Outcome)
+		})
+	}
+}
+
+// TestDoneStepOnClosedUpstreams guards against giving up a job whose steps on closed upstreams
+// are done, and whose other step may start.
+func TestDoneStepOnClosedUpstreams(t *testing.T) {
+	h, now := newActiveFleet(t, 16_000, 48_000)
+	h.upstreams["u1"].DataCentre = "b"
+	var out Effects
+	order := routeOrder("steps", "r", 1, 24_000)
+	order.Steps = append(order.Steps, order.Steps[0])
+	order.Steps[1].After, order.Steps[1].Needs.MilliCores = []int{0}, 12_000
+	j := newJob(now, "entry", order)
+	j.started, j.steps[0][0].done, j.tasksLeft = true, true, 1
+	h.jobs[j.Key()], h.queue = j, append(h.queue, j)
+	h.upstreams["u0"].used.MilliCores = 16_000
+	now = now.Add(10 * time.Millisecond)
+	h.SetEvacuations(now, evacuated("b", now), &out)
+	h.EntrySeen(now, "entry", "1", &out)
+	h.Tick(now, &out)
+	assert.Empty(t, out.Replies)
+}
--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -94,7 +94,7 @@
 		return &Answer{Outcome: Busy, Reason: "leaving"}
 	}
 	fits, isServed := h.fitsAnywhere(o)
-	if !isServed && h.isClosedTo(o.Service, false) {
+	if !isServed && h.isClosedTo(o) {
 		return &Answer{Outcome: Busy, Reason: evacuatedReason, Wait: noUpstreamWait}
 	}
 	if !isServed {
@@ -284,9 +284,9 @@
 func (h *Holder) abandonLateJobs(now time.Time) {
 	for _, j := range slices.Clone(h.queue) {
 		switch {
-		case !j.started && h.isClosedTo(j.Service, false):
+		case !j.started && h.isClosedToRest(j):
 			h.abandonJob(now, j, Answer{Outcome: Busy, Reason: evacuatedReason, Wait: noUpstreamWait})
-		case j.runCount == 0 && h.isClosedTo(j.Service, true):
+		case j.runCount == 0 && h.isClosedToRest(j):
 			h.abandonJob(now, j, Answer{Outcome: Lost, Reason: evacuatedReason})
 		case !j.started && now.Add(j.CriticalPath()).After(j.abandonAt()):
 			h.abandonJob(now, j, Answer{Outcome: Busy, Reason: "no place came free in time", Wait: h.backlog(now)})
