Holder: a job that waits for its own earlier step is no shortage of capacity

Cause: any job in the queue counted as a shortage, which takes all steps of a return at once. A job stays in the queue while one of its steps waits for an earlier one, so that with jobs of several steps work returned to cold upstreams at one stroke, with capacity to spare.

Change: a shortage is noted where the placement leaves a task that may start without an upstream.

--- a/internal/holder/evacuation_test.go
+++ b/internal/holder/evacuation_test.go
@@ -82,3 +82,28 @@
 	h.Tick(now, &out)
 	assert.Empty(t, out.Replies)
 }
+
+// TestBlockedStepIsNoShortage guards against a return at one stroke while a job waits for an
+// earlier step of its own, with capacity to spare.
+func TestBlockedStepIsNoShortage(t *testing.T) {
+	h, now := newActiveFleet(t, 16_000)
+	h.evacuator.Tick(now.Add(-time.Hour))
+	var out Effects
+	order := routeOrder("steps", "r", 1, 1000)
+	order.Steps = append(order.Steps, order.Steps[0])
+	order.Steps[1].After = []int{0}
+	on, _ := submitAt(h, now, order)
+	require.Len(t, on, 1)
+	set := evacuated("b", now)
+	h.SetEvacuations(now, set, &out)
+	now = now.Add(20 * time.Millisecond)
+	h.Tick(now, &out)
+	set.Revision, set.Evacuations[0].Revision, set.Evacuations[0].Active, set.Evacuations[0].ChangedAt = 2, 2, false, now
+	h.SetEvacuations(now, set, &out)
+	for range 5 {
+		now = now.Add(20 * time.Millisecond)
+		h.EntrySeen(now, "entry", "1", &out)
+		h.Tick(now, &out)
+	}
+	assert.InDelta(t, 0.125, h.evacuator.OpenShare("b"), 1e-9, "opened though nothing waits for capacity")
+}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -208,9 +208,6 @@
 	for _, u := range h.upstreams {
 		h.maintainUpstream(now, u)
 	}
-	if len(h.queue) > 0 {
-		h.evacuator.NoteShortage()
-	}
 	if h.evacuator.Tick(now) {
 		h.updateAccess()
 	}
--- a/internal/holder/place.go
+++ b/internal/holder/place.go
@@ -102,6 +102,9 @@
 		h.startTask(now, u, t)
 		return true
 	})
+	if isWaiting {
+		h.evacuator.NoteShortage()
+	}
 	return !isWaiting && !j.hasBlockedStep()
 }
 
