Holder: a job that ends before it starts gives its share back

Cause: only orders refused on arrival gave back the share that they had been charged. Jobs that were cancelled or withdrawn, did not get a place in time, or had to leave an evacuated data centre before their first start kept it, and the next jobs of their kind and origin were refused for work that was not done.

Change: finish returns the share of a job that has not started.

Result: TestUnstartedJobGivesItsShareBack fails without the change and passes with it.

--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -116,9 +116,7 @@
 	}
 	if !o.Force && wait > 0 && wait+o.CriticalPath() > limit {
 		h.evacuator.NoteShortage()
-		if h.sharer != nil {
-			h.sharer.Return(now, h.shareRequest(o))
-		}
+		h.returnShare(now, o)
 		return &Answer{Outcome: Busy, Reason: "queue", Wait: wait}
 	}
 	return nil
@@ -233,6 +231,9 @@
 	a.ID, a.Part, a.Attempt, a.Started = j.ID, j.Part, j.Attempt, j.started
 	delete(h.jobs, j.Key())
 	h.dequeue(j)
+	if !j.started {
+		h.returnShare(now, &j.Order)
+	}
 	h.answers[j.Key()] = cachedAnswer{j.entry, a, j.taskRange(), now}
 	h.logDecision(Decision{
 		Event: "job-" + outcomeName(a.Outcome), Job: j.ID, Request: j.Request, Peer: j.entry, Reason: a.Reason,
--- a/internal/holder/share.go
+++ b/internal/holder/share.go
@@ -50,6 +50,13 @@
 	return nil, h.sharer.Overloaded(now)
 }
 
+// returnShare gives back the share of an order that was admitted but has not run.
+func (h *Holder) returnShare(now time.Time, o *Order) {
+	if h.sharer != nil {
+		h.sharer.Return(now, h.shareRequest(o))
+	}
+}
+
 // Shares returns the shares of the kinds of jobs and their origins, nil if none are kept.
 func (h *Holder) Shares(now time.Time) []sharer.Share {
 	if h.sharer == nil {
--- a/internal/holder/share_test.go
+++ b/internal/holder/share_test.go
@@ -193,3 +193,30 @@
 	require.Equal(t, "queue", replies[0].Answer.Reason)
 	assert.InDelta(t, before, admitted(now), 1e-9)
 }
+
+// TestUnstartedJobGivesItsShareBack guards against a share that is used up by jobs of which nothing
+// has run.
+func TestUnstartedJobGivesItsShareBack(t *testing.T) {
+	h, now := newActiveFleet(t, 16_000)
+	h.sharer = New(Config{SharesCapacity: true}).sharer
+	h.shareCapacity(now)
+	full := routeOrder("runs", "r", 1, 16_000)
+	full.Steps[0].Estimate, full.Objective = time.Second, 2*time.Second
+	on, _ := submitAt(h, now, full)
+	require.Len(t, on, 1)
+	now = now.Add(400 * time.Millisecond)
+	h.shareCapacity(now)
+	before := h.Shares(now)[0].Admitted
+	waiting := routeOrder("waits", "r", 1, 1000)
+	waiting.Steps[0].Estimate, waiting.Objective = time.Second, 4*time.Second
+	on, replies := submitAt(h, now, waiting)
+	require.Empty(t, on)
+	require.Empty(t, replies)
+	require.Greater(t, h.Shares(now)[0].Admitted, before)
+	var out Effects
+	h.CancelJob(now, "entry", "waits", &out)
+	assert.InDelta(t, before, h.Shares(now)[0].Admitted, 1e-9, "charged for a job that has not run")
+	before = h.Shares(now)[0].Admitted
+	h.CancelJob(now, "entry", "runs", &out)
+	assert.InDelta(t, before, h.Shares(now)[0].Admitted, 1e-9, "not charged for a job that has run")
+}
