Forwarder: a part is not offered again to the holder that an evacuation closed

Cause: a part that no other holder is likely to accept in time was offered again, late and then by force, to the holder that reported the shortest wait, also if that one had given the part back because of an evacuation and so refused it again. With a queue at the other holders, a job of several parts then ended as unknown and its other parts were stopped where they ran, and a job of one part was refused without being offered late to anyone else.

Change: such a holder is passed over in favour of the best one that is not evacuated. Without an evacuation nothing changes.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -104,6 +104,8 @@
 	triedHolders              []string
 	shortestWait              time.Duration
 	shortestWaitHolder        string
+	// evacuatedHolders are those that gave the part back because of an evacuation.
+	evacuatedHolders []string
 	// holderLostAt is when the holder was found to be lost, zero while it is not.
 	holderLostAt time.Time
 	sentAt       time.Time
@@ -193,13 +195,13 @@
 	if vm == "" || len(p.triedHolders) > 0 {
 		vm = f.chooseHolder(now, p)
 	}
-	if vm == "" && p.shortestWaitHolder != "" && !p.order.AcceptLate {
-		p.order.AcceptLate = true
-		vm = p.shortestWaitHolder
+	if vm == "" && !p.order.AcceptLate {
+		vm = f.retryHolder(now, p)
+		p.order.AcceptLate = vm != ""
 	}
-	if vm == "" && p.shortestWaitHolder != "" && len(p.job.parts) > 1 && !p.order.Force {
-		p.order.Force = true
-		vm = p.shortestWaitHolder
+	if vm == "" && len(p.job.parts) > 1 && !p.order.Force {
+		vm = f.retryHolder(now, p)
+		p.order.Force = vm != ""
 	}
 	if vm == "" && p.shortestWaitHolder == "" && f.isHolderExpected(now) && now.Before(p.assignmentDeadline()) {
 		p.holder = ""
@@ -217,6 +219,20 @@
 	f.sendOrder(now, p)
 }
 
+// retryHolder returns the holder to ask again for a part that no other holder is likely to accept
+// in time, or an empty string: the one that reported the shortest wait. If an evacuation closed
+// that one, it is the best of those that are not evacuated.
+func (f *Forwarder) retryHolder(now time.Time, p *part) string {
+	if len(p.evacuatedHolders) == 0 || p.shortestWaitHolder != "" && !slices.Contains(p.evacuatedHolders, p.shortestWaitHolder) {
+		return p.shortestWaitHolder
+	}
+	list := f.candidates(now, &p.order, p.order.Steps[0].Count, p.evacuatedHolders)
+	if len(list) == 0 {
+		return ""
+	}
+	return list[0].vm
+}
+
 // updateNoHolderSince records since when no holder with upstreams is reachable. There are
 // two possible causes: the holders have failed, or this VM was paused and their heartbeats
 // are still queued.
@@ -303,6 +319,9 @@
 	}
 	p := j.parts[a.Part]
 	isCurrent := from == p.holder && a.Attempt == p.order.Attempt
+	if isCurrent && a.Reason == holder.EvacuatedReason {
+		p.evacuatedHolders = append(p.evacuatedHolders, from)
+	}
 	switch a.Outcome {
 	case holder.Completed:
 		if !isCurrent {
--- a/internal/holder/evacuation.go
+++ b/internal/holder/evacuation.go
@@ -12,8 +12,8 @@
 // DefaultEvacuationDeadline applies if no deadline is configured.
 const DefaultEvacuationDeadline = 5 * time.Second
 
-// evacuatedReason is the reason of the answer to a job whose data centre is evacuated.
-const evacuatedReason = "the data centre is evacuated"
+// EvacuatedReason is the reason of the answer to a job whose data centre is evacuated.
+const EvacuatedReason = "the data centre is evacuated"
 
 // SetEvacuations puts a newer set of evacuations in force. What runs is not stopped. Jobs that
 // have not started go back to their entries as the upstreams are closed to them.
--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -95,7 +95,7 @@
 	}
 	fits, isServed := h.fitsAnywhere(o)
 	if !isServed && h.isClosedTo(o) {
-		return &Answer{Outcome: Busy, Reason: evacuatedReason, Wait: noUpstreamWait}
+		return &Answer{Outcome: Busy, Reason: EvacuatedReason, Wait: noUpstreamWait}
 	}
 	if !isServed {
 		return &Answer{Outcome: Busy, Reason: "no upstream", Wait: noUpstreamWait}
@@ -286,9 +286,9 @@
 	for _, j := range slices.Clone(h.queue) {
 		switch {
 		case !j.started && h.isClosedToRest(j):
-			h.abandonJob(now, j, Answer{Outcome: Busy, Reason: evacuatedReason, Wait: noUpstreamWait})
+			h.abandonJob(now, j, Answer{Outcome: Busy, Reason: EvacuatedReason, Wait: noUpstreamWait})
 		case j.runCount == 0 && h.isClosedToRest(j):
-			h.abandonJob(now, j, Answer{Outcome: Lost, Reason: evacuatedReason})
+			h.abandonJob(now, j, Answer{Outcome: Lost, Reason: EvacuatedReason})
 		case !j.started && now.Add(j.CriticalPath()).After(j.abandonAt()):
 			h.abandonJob(now, j, Answer{Outcome: Busy, Reason: "no place came free in time", Wait: h.backlog(now)})
 		case now.After(j.arrivedAt.Add(j.Remaining)):
