Forwarder: jobs are refused at once from the moment all is evacuated

Cause: for 600 ms after the last holder had nothing to offer any more, entries kept jobs, since a lost holder is replaced in that time. A holder whose last upstreams were closed by an evacuation counted as lost.

Change: if evacuated holders are within reach, a job is kept only while a holder with capacity is out of reach.

Result: TestAllEvacuatedIsRefusedAtOnce fails without the change and passes with it; its second case guards the wait for a take-over.

--- a/internal/forwarder/evacuated_holder_test.go
+++ b/internal/forwarder/evacuated_holder_test.go
@@ -86,3 +86,48 @@
 	require.Len(t, out.Responses, 1)
 	assert.Equal(t, NotRun, out.Responses[0].Result)
 }
+
+// TestAllEvacuatedIsRefusedAtOnce guards against jobs that wait for a holder right after the last
+// data centre has been evacuated, and against refusals while the upstreams of a lost holder are
+// taken over.
+func TestAllEvacuatedIsRefusedAtOnce(t *testing.T) {
+	for name, isLost := range map[string]bool{"all evacuated": false, "the other holder is lost": true} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+			peers := tracker.New("entry")
+			f := New("a", holder.DefaultTiming(), peers, nil)
+			var out Effects
+			heartbeat := func(vm string, isEvacuated bool) {
+				h := offeringHeartbeat(vm, 2)
+				if isEvacuated {
+					h.Load = holder.Load{IsEvacuated: true}
+				}
+				peers.HandleHeartbeat(now, h, "")
+			}
+			for end := now.Add(2 * time.Second); now.Before(end); now = now.Add(100 * time.Millisecond) {
+				heartbeat("one", true)
+				heartbeat("two", false)
+				f.Tick(now, &out)
+			}
+			for range 5 {
+				heartbeat("one", true)
+				if !isLost {
+					heartbeat("two", true)
+				}
+				f.Tick(now, &out)
+				now = now.Add(100 * time.Millisecond)
+			}
+			f.Submit(now, holder.Order{
+				ID: "j", Service: "s", Objective: time.Second, Remaining: 5 * time.Second,
+				Steps: []holder.Step{{Count: 1, Needs: holder.Capacity{MilliCores: 1000}, Estimate: 100 * time.Millisecond}},
+			}, 1, &out)
+			if isLost {
+				assert.Empty(t, out.Responses, "refused during a take-over")
+				return
+			}
+			require.Len(t, out.Responses, 1, "not refused at once")
+			assert.Equal(t, NotRun, out.Responses[0].Result)
+			assert.Positive(t, out.Responses[0].RetryAfter)
+		})
+	}
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -253,13 +253,26 @@
 // upstreams are all evacuated has nothing to offer until the evacuation is cancelled.
 func (f *Forwarder) isHolderExpected(now time.Time) bool {
 	f.updateNoHolderSince(now)
-	if !f.noHolderSince.IsZero() && now.Sub(f.noHolderSince) < takeoverTime {
-		return true
-	}
+	isEvacuated := false
 	for _, p := range f.peers.Reachable(now) {
 		if p.IsState && !p.IsLeaving && !p.Load.IsEvacuated {
 			return true
 		}
+		isEvacuated = isEvacuated || p.Load.IsEvacuated
+	}
+	if f.noHolderSince.IsZero() || now.Sub(f.noHolderSince) >= takeoverTime {
+		return false
+	}
+	return !isEvacuated || f.hasLostHolder(now)
+}
+
+// hasLostHolder reports whether a VM that had upstreams to offer is out of reach. Another one may
+// take them.
+func (f *Forwarder) hasLostHolder(now time.Time) bool {
+	for _, vm := range f.peers.Known() {
+		if p := f.peers.Peer(vm); p.Load.TotalMilliCores > 0 && !f.peers.IsReachable(now, vm) {
+			return true
+		}
 	}
 	return false
 }
