Holder: a VM without upstreams reports that all it may take are evacuated

Cause: a holder reported itself as evacuated only if it held upstreams. A state VM that had just restarted, or to which no upstream falls, seemed to be about to take some, and entries kept jobs for up to 600 ms although every data centre was evacuated.

Change: a VM that holds nothing is evacuated if all upstreams it knows are closed.

Result: TestEvacuatedLoad fails without the change for a VM that holds nothing and knows only evacuated upstreams, and passes with it.

--- a/internal/holder/evacuation.go
+++ b/internal/holder/evacuation.go
@@ -87,6 +87,26 @@
 	return isHeld
 }
 
+// isEvacuated reports whether an evacuation has closed all held upstreams to new jobs, or all known
+// ones, which this VM may take, if none is held.
+func (h *Holder) isEvacuated() bool {
+	holds, knows, holdsOpen, knowsOpen := false, false, false, false
+	for _, u := range h.upstreams {
+		if u.State == Gone {
+			continue
+		}
+		isOpen := u.access == evacuator.Open
+		knows, knowsOpen = true, knowsOpen || isOpen
+		if u.phase == active {
+			holds, holdsOpen = true, holdsOpen || isOpen
+		}
+	}
+	if holds {
+		return !holdsOpen
+	}
+	return knows && !knowsOpen
+}
+
 // RunsIn returns the number of runs on the held upstreams of a data centre.
 func (h *Holder) RunsIn(dataCentre string) int {
 	runs := 0
--- a/internal/holder/evacuation_test.go
+++ b/internal/holder/evacuation_test.go
@@ -107,3 +107,33 @@
 	}
 	assert.InDelta(t, 0.125, h.evacuator.OpenShare("b"), 1e-9, "opened though nothing waits for capacity")
 }
+
+// TestEvacuatedLoad guards against entries that keep jobs because a VM that holds nothing, such as
+// one that has just restarted, seems to be about to take upstreams that may run them.
+func TestEvacuatedLoad(t *testing.T) {
+	for name, c := range map[string]struct {
+		known       []string
+		holds       bool
+		isEvacuated bool
+	}{
+		"holds evacuated ones":                     {[]string{"a"}, true, true},
+		"holds evacuated ones, knows others":       {[]string{"a", "b"}, true, true},
+		"holds nothing, knows only evacuated ones": {[]string{"a"}, false, true},
+		"holds nothing, knows others":              {[]string{"a", "b"}, false, false},
+		"knows nothing":                            {nil, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := New(Config{VM: "1", DataCentre: "a", Timing: DefaultTiming(), TokenEpoch: testStart, MaxTakeAttempts: 2, RetakeDelay: retakeDelay})
+			var out Effects
+			for _, dataCentre := range c.known {
+				u := testUpstream("u-"+dataCentre, dataCentre)
+				h.HandleHeartbeat(testStart, u, &out)
+				if c.holds && dataCentre == "a" {
+					h.upstreams[u.ID].phase = active
+				}
+			}
+			h.SetEvacuations(testStart, evacuated("a", testStart), &out)
+			assert.Equal(t, c.isEvacuated, h.Load(testStart).IsEvacuated)
+		})
+	}
+}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -254,7 +254,8 @@
 	FreeSlots []int
 	// Pending counts by route the jobs of which no task has started.
 	Pending map[string]int
-	// IsEvacuated is set if an evacuation has closed all upstreams held to new jobs.
+	// IsEvacuated is set if an evacuation has closed all upstreams held to new jobs, or all known
+	// ones if none is held.
 	IsEvacuated bool
 }
 
@@ -262,13 +263,7 @@
 func (h *Holder) Load(now time.Time) Load {
 	l := Load{Pending: map[string]int{}, FreeSlots: make([]int, len(SlotSizes))}
 	racks := map[string]bool{}
-	l.IsEvacuated = true
-	holds := false
 	for _, u := range h.upstreams {
-		holds = holds || u.phase == active
-		if u.phase == active && u.access == evacuator.Open {
-			l.IsEvacuated = false
-		}
 		if !u.isUsable(now) {
 			continue
 		}
@@ -287,7 +282,7 @@
 	for rack := range racks {
 		l.Racks = append(l.Racks, rack)
 	}
-	l.IsEvacuated = l.IsEvacuated && holds
+	l.IsEvacuated = h.isEvacuated()
 	sort.Strings(l.Racks)
 	l.Backlog = h.backlog(now)
 	for _, j := range h.queue {
