Holder: steps of an evacuation that fell due during a stall are taken at once

Cause: the steps are taken at ticks. A VM that was paused past the deadline could take an order before its first tick and start it in the evacuated data centre, on what was open before the pause.

Change: HandleStall, which runs before the first input after a pause, takes the steps that are due.

Result: TestStallDuringEvacuation fails without the change and passes with it.

--- a/internal/holder/evacuation_test.go
+++ b/internal/holder/evacuation_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bronzedrift.example/bronzedrift/internal/configurer"
+	"bronzedrift.example/bronzedrift/internal/evacuator"
 )
 
 // evacuated returns the set in which a data centre has been evacuated for a minute.
@@ -137,3 +138,22 @@
 		})
 	}
 }
+
+// TestStallDuringEvacuation guards against a start after the deadline on a VM that was paused while
+// the steps of an evacuation fell due, and takes an order before its next tick.
+func TestStallDuringEvacuation(t *testing.T) {
+	h, now := newActiveFleet(t, 16_000)
+	var out Effects
+	// The first set of a started VM takes no steps.
+	now = now.Add(2 * DefaultEvacuationDeadline)
+	set := evacuated("a", now)
+	set.Evacuations[0].ChangedAt = now
+	h.SetEvacuations(now, set, &out)
+	require.Equal(t, evacuator.Open, h.upstreams["u0"].access)
+	now = now.Add(DefaultEvacuationDeadline)
+	h.HandleStall(now, DefaultEvacuationDeadline, &out)
+	started, replies := submitAt(h, now, testOrder("after", 1))
+	assert.Empty(t, started, "started after the deadline")
+	require.Len(t, replies, 1)
+	assert.Equal(t, EvacuatedReason, replies[0].Answer.Reason)
+}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -175,13 +175,17 @@
 }
 
 // HandleStall is called after this VM was stalled. All jobs are abandoned, since what their
-// entries have decided in the meantime is unknown.
+// entries have decided in the meantime is unknown. The steps of evacuations that fell due are
+// taken before the next order.
 func (h *Holder) HandleStall(now time.Time, gap time.Duration, out *Effects) {
 	h.out = out
 	h.logDecision(Decision{Event: "stalled", Wait: gap, IsFault: true})
 	for vm := range h.entries {
 		h.abandonEntryJobs(now, vm, "this VM stood still")
 	}
+	if h.evacuator.Tick(now) {
+		h.updateAccess()
+	}
 }
 
 // Tick performs what is due at the given time rather than in response to a message.
