Holder: a job refused for closed upstreams during a return is a shortage

Cause: a return takes its steps at once while jobs are refused for lack of capacity, but a job that fits only upstreams that are not open again yet was refused before that was noted. At a holder with few large upstreams, large jobs were refused until the steps came by time, up to 2 s each while runs are slow.

Change: such a refusal counts as a shortage, and its reason is the evacuation.

Result: TestRefusalDuringReturnIsShortage fails without the change and passes with it.

--- a/internal/holder/evacuation_test.go
+++ b/internal/holder/evacuation_test.go
@@ -157,3 +157,29 @@
 	require.Len(t, replies, 1)
 	assert.Equal(t, EvacuatedReason, replies[0].Answer.Reason)
 }
+
+// TestRefusalDuringReturnIsShortage guards against jobs that are refused for seconds since their
+// tasks fit only upstreams that are not open again yet.
+func TestRefusalDuringReturnIsShortage(t *testing.T) {
+	h, now := newActiveFleet(t, 16_000, 48_000)
+	h.upstreams["u1"].DataCentre = "b"
+	var out Effects
+	set := evacuated("b", now)
+	h.SetEvacuations(now, set, &out)
+	h.Tick(now, &out)
+	set.Revision, set.Evacuations[0].Revision, set.Evacuations[0].Active = 2, 2, false
+	h.SetEvacuations(now, set, &out)
+	require.Equal(t, evacuator.Closed, h.upstreams["u1"].access, "not in the first step")
+	for range 5 {
+		now = now.Add(20 * time.Millisecond)
+		order := testOrder("large", int(now.UnixMilli()))
+		order.Steps[0].Needs.MilliCores = 32_000
+		started, replies := submitAt(h, now, order)
+		if len(started) > 0 {
+			return
+		}
+		require.Equal(t, Busy, replies[0].Answer.Outcome)
+		h.Tick(now, &out)
+	}
+	t.Error("refused for 100 ms")
+}
--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -94,7 +94,8 @@
 		return &Answer{Outcome: Busy, Reason: "leaving"}
 	}
 	fits, isServed := h.fitsAnywhere(o)
-	if !isServed && h.isClosedTo(o) {
+	if !fits && h.isClosedTo(o) {
+		h.evacuator.NoteShortage()
 		return &Answer{Outcome: Busy, Reason: EvacuatedReason, Wait: noUpstreamWait}
 	}
 	if !isServed {
