Evacuator: a late VM leaves time for start calls on their way

Cause: a VM that learned late of an evacuation allowed starts until the very deadline, so that a start call sent just before it was carried out after it.

Change: the steps count from 40% of the deadline after the order at the latest instead of half, which leaves a tenth of the deadline for such calls.

--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -72,9 +72,11 @@
 	// closingShare is the part of the deadline in which the steps are taken, and
 	// startedShare the part in which jobs that have started may still start tasks. The rest is
 	// for VMs that learn of the evacuation late: they count from when they learn of it, and at
-	// the latest from the end of the rest.
+	// the latest from lateShare of the deadline after the order. What remains then, a tenth, is
+	// for start calls that are on their way.
 	closingShare = 0.25
 	startedShare = 0.5
+	lateShare    = 0.4
 	// minStep is the shortest time between two steps of a return. It covers the run of a short
 	// task and two heartbeats, so that the effect of a step is seen before the next one.
 	minStep = 250 * time.Millisecond
@@ -152,7 +154,7 @@
 // deadline leaves for that. The wall clock of the VM that proposed the order may differ by as much
 // as that time before the steps are affected.
 func (e *Evacuator) lateness(now, orderedAt time.Time) time.Duration {
-	late := now.Sub(orderedAt) - e.share(1-startedShare)
+	late := now.Sub(orderedAt) - e.share(lateShare)
 	return min(max(0, late), e.config.Deadline)
 }
 
--- a/internal/evacuator/evacuator_test.go
+++ b/internal/evacuator/evacuator_test.go
@@ -75,22 +75,24 @@
 }
 
 // TestLateVMClosesByTheDeadline guards against starts after the deadline on a VM that was cut off
-// or frozen when the order was given, or whose disk had an older set.
+// or frozen when the order was given, or whose disk had an older set. Calls that are on their way
+// have a tenth of the deadline to arrive.
 func TestLateVMClosesByTheDeadline(t *testing.T) {
-	for _, late := range []time.Duration{0, deadline / 2, deadline * 6 / 10, deadline * 9 / 10, deadline, time.Hour} {
+	const lastCall = deadline * 9 / 10
+	for _, late := range []time.Duration{0, deadline * 4 / 10, deadline / 2, deadline * 8 / 10, lastCall, deadline, time.Hour} {
 		t.Run(late.String(), func(t *testing.T) {
 			e := running()
 			learntAt := start.Add(late)
 			e.Update(learntAt, evacuation(1, "a", true, start))
-			if late <= deadline/2 {
+			if late <= deadline*4/10 {
 				assert.Equal(t, 400, count(e, "a")[Open], "closed at one stroke though there is time")
 			}
-			if late >= deadline {
+			if late >= lastCall {
 				assert.Equal(t, 400, count(e, "a")[Closed], "as it learns of the order")
 				return
 			}
-			tick(e, learntAt, deadline-late, nil)
-			assert.Equal(t, 400, count(e, "a")[Closed], "at the deadline")
+			tick(e, learntAt, lastCall-late, nil)
+			assert.Equal(t, 400, count(e, "a")[Closed])
 		})
 	}
 }
