Evacuator: a restarted VM with an older set on its disk returns in steps

Cause: only the first set that a started VM learned of could begin a return. A state VM whose disk had an older set, and which learned of an evacuation and its cancellation together, gave work to all cold upstreams at one stroke.

Result: a case of TestFirstSetOfStartedVM fails without the change and passes with it; it also checks that a change of another data centre does not begin the return again.

--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -101,14 +101,17 @@
 }
 
 // Update applies a newer set of evacuations; one that is not newer is ignored. The first set
-// of a VM that has just started tells of the past: a data centre is then closed at once, and
-// work returns to one whose evacuation was cancelled a moment ago from the first step.
+// of a VM that has just started tells of the past: a data centre is then closed at once. Work
+// returns from the first step to one whose evacuation was cancelled a moment ago, also if the set
+// on the disk was older.
 func (e *Evacuator) Update(now time.Time, set configurer.EvacuationSet) {
 	if set.Revision <= e.revision {
 		return
 	}
 	e.noteStart(now)
-	isFirst := e.revision == 0 && now.Sub(e.startedAt) < startupTime
+	isStarting := now.Sub(e.startedAt) < startupTime
+	before := e.revision
+	isFirst := before == 0 && isStarting
 	e.revision = set.Revision
 	for _, v := range set.Evacuations {
 		known := e.dataCentres[v.DataCentre]
@@ -119,7 +122,7 @@
 		case known != nil:
 			known.revision = v.Revision
 			known.startReturn(now)
-		case isFirst && age(now, v.ChangedAt) < maxReturn:
+		case isStarting && v.Revision > before && age(now, v.ChangedAt) < maxReturn:
 			d := &dataCentre{revision: v.Revision}
 			d.startReturn(now)
 			e.dataCentres[v.DataCentre] = d
--- a/internal/evacuator/evacuator_test.go
+++ b/internal/evacuator/evacuator_test.go
@@ -173,6 +173,20 @@
 			assert.Equal(t, 400-count(e, "a")[Open], count(e, "a")[Closed])
 		})
 	}
+	t.Run("cancelled just now, after an older set from the disk", func(t *testing.T) {
+		e := New(Config{Deadline: deadline})
+		e.Tick(start)
+		e.Update(start, evacuation(5, "a", false, start.Add(-time.Hour)))
+		e.Update(start.Add(300*time.Millisecond), evacuation(7, "a", false, start.Add(-time.Second)))
+		assert.InDelta(t, 50, count(e, "a")[Open], 20)
+		now := tick(e, start.Add(300*time.Millisecond), 2*time.Second, nil)
+		assert.Equal(t, 400, count(e, "a")[Open])
+		set := evacuation(7, "a", false, start.Add(-time.Second))
+		set.Revision = 8
+		set.Evacuations = append(set.Evacuations, configurer.Evacuation{DataCentre: "b", Active: true, Revision: 8, ChangedAt: now})
+		e.Update(now, set)
+		assert.Equal(t, 400, count(e, "a")[Open], "the return of a data centre began again with the change of another one")
+	})
 	t.Run("first evacuation of a VM that has run for long", func(t *testing.T) {
 		e := running()
 		e.Update(start, evacuation(1, "a", true, start))
