--- a/internal/evacuator/evacuator.go
+++ b/internal/evacuator/evacuator.go
@@ -45,7 +45,8 @@
 type dataCentre struct {
 	phase    phase
 	revision uint64
-	// changedAt is when this VM learned of the latest change.
+	// changedAt is when this VM learned of the latest change, or before that if an evacuation
+	// would otherwise miss its deadline.
 	changedAt time.Time
 	// openSteps of the steps upstreams are open; stepAt is when the latest step was taken.
 	openSteps int
@@ -70,9 +71,12 @@
 	steps = 8
 	// closingShare is the part of the deadline in which the steps are taken, and
 	// startedShare the part in which jobs that have started may still start tasks. The rest is
-	// for VMs that learn of the evacuation late: they count from when they learn of it.
+	// for VMs that learn of the evacuation late: they count from when they learn of it, and at
+	// the latest from lateShare of the deadline after the order. What remains then, a tenth, is
+	// for start calls that are on their way.
 	closingShare = 0.25
 	startedShare = 0.5
+	lateShare    = 0.4
 	// minStep is the shortest time between two steps of a return. It covers the run of a short
 	// task and two heartbeats, so that the effect of a step is seen before the next one.
 	minStep = 250 * time.Millisecond
@@ -97,14 +101,17 @@
 }
 
 // Update applies a newer set of evacuations; one that is not newer is ignored. The first set
-// of a VM that has just started tells of the past: a data centre is then closed at once, and
-// work returns to one whose evacuation was cancelled a moment ago from the first step.
+// of a VM that has just started tells of the past: a data centre is then closed at once. Work
+// returns from the first step to one whose evacuation was cancelled a moment ago, also if the set
+// on the disk was older.
 func (e *Evacuator) Update(now time.Time, set configurer.EvacuationSet) {
 	if set.Revision <= e.revision {
 		return
 	}
 	e.noteStart(now)
-	isFirst := e.revision == 0 && now.Sub(e.startedAt) < startupTime
+	isStarting := now.Sub(e.startedAt) < startupTime
+	before := e.revision
+	isFirst := before == 0 && isStarting
 	e.revision = set.Revision
 	for _, v := range set.Evacuations {
 		known := e.dataCentres[v.DataCentre]
@@ -115,7 +122,7 @@
 		case known != nil:
 			known.revision = v.Revision
 			known.startReturn(now)
-		case isFirst && age(now, v.ChangedAt) < maxReturn:
+		case isStarting && v.Revision > before && age(now, v.ChangedAt) < maxReturn:
 			d := &dataCentre{revision: v.Revision}
 			d.startReturn(now)
 			e.dataCentres[v.DataCentre] = d
@@ -137,10 +144,21 @@
 	if d.phase == closing || d.phase == evacuated {
 		return
 	}
-	d.phase, d.changedAt, d.stepAt = closing, now, now
+	since := now.Add(-e.lateness(now, v.ChangedAt))
+	d.phase, d.changedAt, d.stepAt = closing, since, since
 	if isFirst {
 		d.phase, d.openSteps, d.changedAt = evacuated, 0, time.Time{}
+		return
 	}
+	e.close(now, d)
+}
+
+// lateness returns by how much this VM has learned of an order later than the time that the
+// deadline leaves for that. The wall clock of the VM that proposed the order may differ by as much
+// as that time before the steps are affected.
+func (e *Evacuator) lateness(now, orderedAt time.Time) time.Duration {
+	late := now.Sub(orderedAt) - e.share(lateShare)
+	return min(max(0, late), e.config.Deadline)
 }
 
 // startReturn opens the first step, or goes on from the steps that are still open.
--- a/internal/evacuator/evacuator_test.go
+++ b/internal/evacuator/evacuator_test.go
@@ -74,6 +74,29 @@
 	assert.Equal(t, 400, count(e, "a")[Closed])
 }
 
+// TestLateVMClosesByTheDeadline guards against starts after the deadline on a VM that was cut off
+// or frozen when the order was given, or whose disk had an older set. Calls that are on their way
+// have a tenth of the deadline to arrive.
+func TestLateVMClosesByTheDeadline(t *testing.T) {
+	const lastCall = deadline * 9 / 10
+	for _, late := range []time.Duration{0, deadline * 4 / 10, deadline / 2, deadline * 8 / 10, lastCall, deadline, time.Hour} {
+		t.Run(late.String(), func(t *testing.T) {
+			e := running()
+			learntAt := start.Add(late)
+			e.Update(learntAt, evacuation(1, "a", true, start))
+			if late <= deadline*4/10 {
+				assert.Equal(t, 400, count(e, "a")[Open], "closed at one stroke though there is time")
+			}
+			if late >= lastCall {
+				assert.Equal(t, 400, count(e, "a")[Closed], "as it learns of the order")
+				return
+			}
+			tick(e, learntAt, lastCall-late, nil)
+			assert.Equal(t, 400, count(e, "a")[Closed])
+		})
+	}
+}
+
 // TestReturn guards against work that returns to cold upstreams at one stroke, and against
 // capacity that stays unused since runs are slow for another reason.
 func TestReturn(t *testing.T) {
@@ -150,6 +173,20 @@
 			assert.Equal(t, 400-count(e, "a")[Open], count(e, "a")[Closed])
 		})
 	}
+	t.Run("cancelled just now, after an older set from the disk", func(t *testing.T) {
+		e := New(Config{Deadline: deadline})
+		e.Tick(start)
+		e.Update(start, evacuation(5, "a", false, start.Add(-time.Hour)))
+		e.Update(start.Add(300*time.Millisecond), evacuation(7, "a", false, start.Add(-time.Second)))
+		assert.InDelta(t, 50, count(e, "a")[Open], 20)
+		now := tick(e, start.Add(300*time.Millisecond), 2*time.Second, nil)
+		assert.Equal(t, 400, count(e, "a")[Open])
+		set := evacuation(7, "a", false, start.Add(-time.Second))
+		set.Revision = 8
+		set.Evacuations = append(set.Evacuations, configurer.Evacuation{DataCentre: "b", Active: true, Revision: 8, ChangedAt: now})
+		e.Update(now, set)
+		assert.Equal(t, 400, count(e, "a")[Open], "the return of a data centre began again with the change of another one")
+	})
 	t.Run("first evacuation of a VM that has run for long", func(t *testing.T) {
 		e := running()
 		e.Update(start, evacuation(1, "a", true, start))
--- a/internal/holder/evacuation.go
+++ b/internal/holder/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"bronzedrift.example/bronzedrift/internal/configurer"
@@ -11,8 +12,8 @@
 // DefaultEvacuationDeadline applies if no deadline is configured.
 const DefaultEvacuationDeadline = 5 * time.Second
 
-// evacuatedReason is the reason of the answer to a job whose data centre is evacuated.
-const evacuatedReason = "the data centre is evacuated"
+// EvacuatedReason is the reason of the answer to a job whose data centre is evacuated.
+const EvacuatedReason = "the data centre is evacuated"
 
 // SetEvacuations puts a newer set of evacuations in force. What runs is not stopped. Jobs that
 // have not started go back to their entries as the upstreams are closed to them.
@@ -49,12 +50,33 @@
 	return u.access == evacuator.Open || u.access == evacuator.StartedJobs && j.started
 }
 
-// isClosedTo reports whether an evacuation has closed all held upstreams of a service to jobs,
-// or to those that have started.
-func (h *Holder) isClosedTo(service string, started bool) bool {
+// isClosedTo reports whether an evacuation has closed all held upstreams that fit one of the
+// steps of an order.
+func (h *Holder) isClosedTo(o *Order) bool {
+	for i := range o.Steps {
+		if h.isStepClosed(o, i, false) {
+			return true
+		}
+	}
+	return false
+}
+
+// isClosedToRest is isClosedTo for the steps of a job that are not done.
+func (h *Holder) isClosedToRest(j *job) bool {
+	for s, tasks := range j.steps {
+		isDone := !slices.ContainsFunc(tasks, func(t *task) bool { return !t.done })
+		if !isDone && h.isStepClosed(&j.Order, s, j.started) {
+			return true
+		}
+	}
+	return false
+}
+
+func (h *Holder) isStepClosed(o *Order, step int, started bool) bool {
+	s := &o.Steps[step]
 	isHeld := false
 	for _, u := range h.upstreams {
-		if u.phase != active || u.Service != service {
+		if u.phase != active || u.Service != o.Service || !u.hasLabel(s.Label) || !s.Needs.fitsIn(u.Capacity) {
 			continue
 		}
 		if u.access == evacuator.Open || u.access == evacuator.StartedJobs && started {
@@ -65,6 +87,26 @@
 	return isHeld
 }
 
+// isEvacuated reports whether an evacuation has closed all held upstreams to new jobs, or all known
+// ones, which this VM may take, if none is held.
+func (h *Holder) isEvacuated() bool {
+	holds, knows, holdsOpen, knowsOpen := false, false, false, false
+	for _, u := range h.upstreams {
+		if u.State == Gone {
+			continue
+		}
+		isOpen := u.access == evacuator.Open
+		knows, knowsOpen = true, knowsOpen || isOpen
+		if u.phase == active {
+			holds, holdsOpen = true, holdsOpen || isOpen
+		}
+	}
+	if holds {
+		return !holdsOpen
+	}
+	return knows && !knowsOpen
+}
+
 // RunsIn returns the number of runs on the held upstreams of a data centre.
 func (h *Holder) RunsIn(dataCentre string) int {
 	runs := 0
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -175,13 +175,17 @@
 }
 
 // HandleStall is called after this VM was stalled. All jobs are abandoned, since what their
-// entries have decided in the meantime is unknown.
+// entries have decided in the meantime is unknown. The steps of evacuations that fell due are
+// taken before the next order.
 func (h *Holder) HandleStall(now time.Time, gap time.Duration, out *Effects) {
 	h.out = out
 	h.logDecision(Decision{Event: "stalled", Wait: gap, IsFault: true})
 	for vm := range h.entries {
 		h.abandonEntryJobs(now, vm, "this VM stood still")
 	}
+	if h.evacuator.Tick(now) {
+		h.updateAccess()
+	}
 }
 
 // Tick performs what is due at the given time rather than in response to a message.
@@ -208,9 +212,6 @@
 	for _, u := range h.upstreams {
 		h.maintainUpstream(now, u)
 	}
-	if len(h.queue) > 0 {
-		h.evacuator.NoteShortage()
-	}
 	if h.evacuator.Tick(now) {
 		h.updateAccess()
 	}
@@ -257,7 +258,8 @@
 	FreeSlots []int
 	// Pending counts by route the jobs of which no task has started.
 	Pending map[string]int
-	// IsEvacuated is set if an evacuation has closed all upstreams held to new jobs.
+	// IsEvacuated is set if an evacuation has closed all upstreams held to new jobs, or all known
+	// ones if none is held.
 	IsEvacuated bool
 }
 
@@ -265,13 +267,7 @@
 func (h *Holder) Load(now time.Time) Load {
 	l := Load{Pending: map[string]int{}, FreeSlots: make([]int, len(SlotSizes))}
 	racks := map[string]bool{}
-	l.IsEvacuated = true
-	holds := false
 	for _, u := range h.upstreams {
-		holds = holds || u.phase == active
-		if u.phase == active && u.access == evacuator.Open {
-			l.IsEvacuated = false
-		}
 		if !u.isUsable(now) {
 			continue
 		}
@@ -290,7 +286,7 @@
 	for rack := range racks {
 		l.Racks = append(l.Racks, rack)
 	}
-	l.IsEvacuated = l.IsEvacuated && holds
+	l.IsEvacuated = h.isEvacuated()
 	sort.Strings(l.Racks)
 	l.Backlog = h.backlog(now)
 	for _, j := range h.queue {
--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -94,8 +94,9 @@
 		return &Answer{Outcome: Busy, Reason: "leaving"}
 	}
 	fits, isServed := h.fitsAnywhere(o)
-	if !isServed && h.isClosedTo(o.Service, false) {
-		return &Answer{Outcome: Busy, Reason: evacuatedReason, Wait: noUpstreamWait}
+	if !fits && h.isClosedTo(o) {
+		h.evacuator.NoteShortage()
+		return &Answer{Outcome: Busy, Reason: EvacuatedReason, Wait: noUpstreamWait}
 	}
 	if !isServed {
 		return &Answer{Outcome: Busy, Reason: "no upstream", Wait: noUpstreamWait}
@@ -116,9 +117,7 @@
 	}
 	if !o.Force && wait > 0 && wait+o.CriticalPath() > limit {
 		h.evacuator.NoteShortage()
-		if h.sharer != nil {
-			h.sharer.Return(now, h.shareRequest(o))
-		}
+		h.returnShare(now, o)
 		return &Answer{Outcome: Busy, Reason: "queue", Wait: wait}
 	}
 	return nil
@@ -233,6 +232,9 @@
 	a.ID, a.Part, a.Attempt, a.Started = j.ID, j.Part, j.Attempt, j.started
 	delete(h.jobs, j.Key())
 	h.dequeue(j)
+	if !j.started {
+		h.returnShare(now, &j.Order)
+	}
 	h.answers[j.Key()] = cachedAnswer{j.entry, a, j.taskRange(), now}
 	h.logDecision(Decision{
 		Event: "job-" + outcomeName(a.Outcome), Job: j.ID, Request: j.Request, Peer: j.entry, Reason: a.Reason,
@@ -284,10 +286,10 @@
 func (h *Holder) abandonLateJobs(now time.Time) {
 	for _, j := range slices.Clone(h.queue) {
 		switch {
-		case !j.started && h.isClosedTo(j.Service, false):
-			h.abandonJob(now, j, Answer{Outcome: Busy, Reason: evacuatedReason, Wait: noUpstreamWait})
-		case j.runCount == 0 && h.isClosedTo(j.Service, true):
-			h.abandonJob(now, j, Answer{Outcome: Lost, Reason: evacuatedReason})
+		case !j.started && h.isClosedToRest(j):
+			h.abandonJob(now, j, Answer{Outcome: Busy, Reason: EvacuatedReason, Wait: noUpstreamWait})
+		case j.runCount == 0 && h.isClosedToRest(j):
+			h.abandonJob(now, j, Answer{Outcome: Lost, Reason: EvacuatedReason})
 		case !j.started && now.Add(j.CriticalPath()).After(j.abandonAt()):
 			h.abandonJob(now, j, Answer{Outcome: Busy, Reason: "no place came free in time", Wait: h.backlog(now)})
 		case now.After(j.arrivedAt.Add(j.Remaining)):
