The own engine obeys evacuations

Cause: an operator must be able to take a data centre out of service without losing jobs or stopping tasks.

Change: the dispatcher takes the evacuations as an input. The lessor of an evacuated data centre grants nothing and reports no slots, entries return leases of it, and demands of queued jobs move to other data centres. A job that could run in evacuated data centres only is refused at once as not run, with Retry-After, if that is proven; jobs that have started wait. After the cancellation, each upstream offers one slot at first and more with each run that takes about as long as expected.

The histories with evacuations showed three cases of a wrong not-run that exist without evacuations too: refusals at the admission of a job of which another entry holds a copy; a remembered refusal given out after another entry had held the range; and a submission that came back to an entry which had sent it to another owner, without a note of that. All are mended here.

--- a/internal/dispatcher/demand.go
+++ b/internal/dispatcher/demand.go
@@ -114,8 +114,8 @@
 		g := &j.groups[i]
 		d.queuedTasks -= len(g.waiting)
 		g.waiting = nil
-		for dc, count := range g.requested {
-			d.withdrawFrom(j, i, dc, count)
+		for _, dc := range d.router.DataCentres() {
+			d.withdrawFrom(j, i, dc, g.requested[dc])
 		}
 	}
 }
@@ -217,13 +217,28 @@
 	return max(1, c.slots/16)
 }
 
-// candidates returns the home data centre first, then those with a known load
-// report, leaving out any without a reachable lessor or an upstream for the
-// tasks.
+// candidates returns the data centres whose lessors may be asked for slots. If
+// none serves the tasks, they wait at an evacuated data centre that could, for the
+// end of the evacuation, or else at home.
 func (d *Dispatcher) candidates(j *job, g *group) []candidate {
+	if list := d.servingCandidates(j, g); len(list) > 0 {
+		return list
+	}
+	for _, dc := range d.router.DataCentres() {
+		if d.isEvacuated(dc) && d.isLessorReachable(dc) && d.hasCapacityIn(dc, j.Service, g.shape) {
+			return []candidate{{dataCentre: dc, slots: 1}}
+		}
+	}
+	return []candidate{{dataCentre: j.Home, slots: 1}}
+}
+
+// servingCandidates returns the home data centre first, then those with a known
+// load report, leaving out any that is evacuated, offers no slots or has no
+// reachable lessor or no upstream for the tasks.
+func (d *Dispatcher) servingCandidates(j *job, g *group) []candidate {
 	var list []candidate
 	for _, dc := range d.router.DataCentres() {
-		if !d.isLessorReachable(dc) || !d.hasCapacityIn(dc, j.Service, g.shape) {
+		if d.isEvacuated(dc) || !d.isLessorReachable(dc) || !d.hasCapacityIn(dc, j.Service, g.shape) {
 			continue
 		}
 		c := candidate{dataCentre: dc, slots: 1}
@@ -231,7 +246,7 @@
 			c.remoteMargin = d.remoteMargin()
 		}
 		load, ok := d.loadOf(dc, j.Service)
-		if !ok && dc != j.Home {
+		if !ok && dc != j.Home || ok && load.Slots == 0 {
 			continue
 		}
 		c.slots, c.free, c.wait = max(1, load.Slots), load.FreeSlots, load.ExpectedWait
@@ -244,9 +259,6 @@
 			list = append(list, c)
 		}
 	}
-	if len(list) == 0 {
-		return []candidate{{dataCentre: j.Home, slots: 1}}
-	}
 	return list
 }
 
@@ -265,7 +277,8 @@
 // loadOf returns the latest known load of a service in a data centre.
 func (d *Dispatcher) loadOf(dataCentre, service string) (scheduler.Load, bool) {
 	if d.isLessor(dataCentre) {
-		return d.localLessors[dataCentre].scheduler.LoadOf(service)
+		load, ok := d.localLessors[dataCentre].scheduler.LoadOf(service)
+		return d.offeredLoad(dataCentre, load), ok
 	}
 	for _, l := range d.loads[dataCentre].Services {
 		if l.Service == service {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -87,6 +87,7 @@
 	catchUpUntil     time.Time
 	deferredGrants   []deferredGrant
 	linkLostAt       map[string]time.Time
+	evacuations      map[string]Evacuation
 }
 
 // slowTickInterval is the time between two runs of the periodic checks that
@@ -131,6 +132,7 @@
 		loads:            map[string]LoadReport{},
 		demandShortfalls: map[string]int{},
 		linkLostAt:       map[string]time.Time{},
+		evacuations:      map[string]Evacuation{},
 		lastRequest:      uint64(now.UnixNano()),
 		retries:          limiter.NewRetryBudget(),
 		quarantine:       quarantiner.New(),
@@ -163,7 +165,7 @@
 	case in.FenceEnd != nil:
 		d.handleFenceEnd(now, in.FenceEnd)
 	case in.Announce != nil:
-		d.handleAnnouncement(in.Announce, true)
+		d.handleAnnouncement(now, in.Announce, true)
 	case in.Verdict != nil:
 		d.handleVerdict(now, in.Verdict)
 	case in.PeerUp != "":
@@ -172,6 +174,8 @@
 		d.handlePeerLost(now, in.PeerLost)
 	case in.Configure != nil:
 		d.configure(in.Configure)
+	case in.Evacuations != nil:
+		d.handleEvacuations(now, in.Evacuations)
 	case in.Drain:
 		d.startDrain(now)
 	case in.Tick:
@@ -234,7 +238,7 @@
 	case m.Holdings != nil:
 		d.handleHoldings(now, r.From, m.Holdings)
 	case m.Announce != nil:
-		d.handleAnnouncement(m.Announce, false)
+		d.handleAnnouncement(now, m.Announce, false)
 	case m.Verdict != nil:
 		d.applyVerdict(now, *m.Verdict)
 	case m.Hello != nil:
@@ -277,6 +281,9 @@
 	d.expireForwards(now)
 	d.expireWaiters(now)
 	d.auditDemands(now)
+	if d.isAnyEvacuated() {
+		d.moveEvacuatedDemands(now)
+	}
 	d.forgetUpstreams(now)
 	d.expireKeptAnswers(now)
 	d.expireRefusals(now)
@@ -357,7 +364,7 @@
 
 // handleAnnouncement processes an upstream's announcement. It is direct if it
 // came from the upstream itself and not from a peer.
-func (d *Dispatcher) handleAnnouncement(u *Upstream, direct bool) {
+func (d *Dispatcher) handleAnnouncement(now time.Time, u *Upstream, direct bool) {
 	known := d.upstreams[u.Name]
 	if known != nil && !direct && !u.Announced.After(known.Announced) {
 		return
@@ -375,6 +382,9 @@
 	d.recordAnnouncement(u)
 	if l := d.localLessors[u.DataCentre]; l != nil {
 		l.announce(u, d.router.IsDown(router.SubjectUpstream, u.Name))
+		if e := d.evacuations[u.DataCentre]; l.active && known == nil && e.isReturning(now) {
+			l.scheduler.BeginReturnOf(u.Name)
+		}
 	}
 	if isNew {
 		d.fenceAllRanges(u)
--- a/internal/dispatcher/fakes_test.go
+++ b/internal/dispatcher/fakes_test.go
@@ -105,6 +105,9 @@
 	}
 	u.tasks[id] = t
 	u.starts[id]++
+	if w.onStart != nil {
+		w.onStart(u)
+	}
 	u.usedSlots++
 	incarnation := u.incarnation
 	run := 20*time.Millisecond + time.Duration(w.random.Int64N(int64(300*time.Millisecond)))
--- a/internal/dispatcher/forward.go
+++ b/internal/dispatcher/forward.go
@@ -123,6 +123,7 @@
 			continue
 		}
 		delete(d.forwards, f.request)
+		f.waiter.wasForwarded = f.waiter.wasForwarded || f.everSent
 		d.route(now, f.job, f.waiter, 1, f.joinOnly)
 	}
 }
--- a/internal/dispatcher/history_test.go
+++ b/internal/dispatcher/history_test.go
@@ -44,6 +44,14 @@
 	w.faults = faults
 	w.runUntil(w.now.Add(settleTime))
 	end := w.now.Add(faultTime)
+	w.submitUntil(end)
+	w.scheduleFaults(end)
+	w.runUntil(end.Add(recoverTime))
+	return w
+}
+
+// submitUntil submits jobs of random sizes at random times until end.
+func (w *simulation) submitUntil(end time.Time) {
 	var arrive func()
 	arrive = func() {
 		if w.now.Before(end) {
@@ -52,9 +60,6 @@
 		}
 	}
 	arrive()
-	w.scheduleFaults(end)
-	w.runUntil(end.Add(recoverTime))
-	return w
 }
 
 // scheduleFaults injects a fault about once a second until end and repairs
--- a/internal/dispatcher/input.go
+++ b/internal/dispatcher/input.go
@@ -21,8 +21,11 @@
 	FenceEnd    *FenceEnd
 	// Configure replaces the teams and services.
 	Configure *Configuration
-	Drain     bool
-	Tick      bool
+	// Evacuations are the latest changes of all data centres that were ever
+	// evacuated.
+	Evacuations []Evacuation
+	Drain       bool
+	Tick        bool
 }
 
 // Configuration holds the teams and services in force.
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -86,6 +86,7 @@
 	Cancelled         Reason = "cancelled"
 	TaskFailed        Reason = "task-failed"
 	Draining          Reason = "draining"
+	Evacuated         Reason = "evacuated"
 	Overloaded        Reason = "overloaded"
 	TimedOut          Reason = "timed-out"
 	OutcomeUnknown    Reason = "outcome-unknown"
--- a/internal/dispatcher/lessor.go
+++ b/internal/dispatcher/lessor.go
@@ -159,6 +159,9 @@
 	switch {
 	case active && !l.active:
 		l.grantAfter = now.Add(lessorGrace)
+		if e := d.evacuations[dataCentre]; e.isReturning(now) {
+			l.scheduler.BeginReturn()
+		}
 	case !active && l.active:
 		l.scheduler.Clear()
 		clear(l.quotas)
@@ -392,7 +395,7 @@
 func (d *Dispatcher) grantNext(now time.Time) bool {
 	for _, dc := range d.router.DataCentres() {
 		l := d.localLessors[dc]
-		if l == nil || !l.active || now.Before(l.grantAfter) {
+		if l == nil || !l.active || now.Before(l.grantAfter) || d.isEvacuated(dc) {
 			continue
 		}
 		if g, ok := l.scheduler.Next(now); ok {
@@ -431,6 +434,9 @@
 // maxReportInterval.
 func (d *Dispatcher) sendLoadReport(now time.Time, l *lessor) {
 	loads := l.scheduler.Loads()
+	for i := range loads {
+		loads[i] = d.offeredLoad(l.dataCentre, loads[i])
+	}
 	due := now.Sub(l.lastReportAt) >= maxReportInterval
 	if !due && !isLoadChanged(l.lastReport, loads) {
 		return
@@ -485,7 +491,7 @@
 		return true
 	}
 	for i := range current {
-		if (old[i].FreeSlots == 0) != (current[i].FreeSlots == 0) {
+		if (old[i].FreeSlots == 0) != (current[i].FreeSlots == 0) || (old[i].Slots == 0) != (current[i].Slots == 0) {
 			return true
 		}
 		if change := current[i].ExpectedWait - old[i].ExpectedWait; change > minReportedWaitChange || change < -minReportedWaitChange {
--- a/internal/dispatcher/owned.go
+++ b/internal/dispatcher/owned.go
@@ -94,6 +94,8 @@
 	// receivedAt is when the first entry received the submission.
 	receivedAt time.Time
 	deadline   time.Time
+	// wasForwarded is set if this entry has sent the submission to another owner.
+	wasForwarded bool
 }
 
 func (w *waiter) isSame(o *waiter) bool {
--- a/internal/dispatcher/owner.go
+++ b/internal/dispatcher/owner.go
@@ -52,7 +52,7 @@
 // wasAtOtherOwner reports whether a submission was forwarded to another owner
 // before: it came back here or took more than one hop.
 func wasAtOtherOwner(w *waiter, hops int) bool {
-	return hops > 1 || w.peer == "" && hops > 0
+	return hops > 1 || w.wasForwarded || w.peer == "" && hops > 0
 }
 
 // joinKnown answers a resubmission from the known job with the same id.
@@ -109,7 +109,7 @@
 		d.refuse(w, s, TimedOut, Unknown, "the job's timeout was over before its owner was found")
 		return
 	}
-	if refused := d.refusalOf(s.ID, &w); refused != nil {
+	if refused := d.refusalOf(s, rangeName, &w); refused != nil {
 		d.reply(w, refused)
 		return
 	}
@@ -267,14 +267,24 @@
 }
 
 // isAdmissible reports whether a job can run and be answered in time, and
-// refuses it otherwise.
+// refuses it otherwise. A job of which another entry may hold a copy is not
+// refused because of evacuations or waits: the answer could only be Unknown, and
+// would be kept.
 func (d *Dispatcher) isAdmissible(now time.Time, j *job) bool {
 	if !d.hasCapacity(j.Job) {
 		d.fail(now, j, NeverFits, NotRun, "tasks: no announced upstream of the service could ever hold a task of this size")
 		return false
 	}
+	ran := d.provenRanBefore(j)
 	if d.queuedTasks+len(j.Tasks) > d.config.Limits.MaxQueuedTasks {
-		d.fail(now, j, Overloaded, NotRun, "the queue of this entry is full")
+		d.fail(now, j, Overloaded, ran, "the queue of this entry is full")
+		return false
+	}
+	if ran != NotRun {
+		return true
+	}
+	if d.isAnyEvacuated() && d.newEvacuationCheck(now).isJobEvacuated(j.Job) {
+		d.refuseEvacuated(now, j)
 		return false
 	}
 	if wait := d.shortestWait(j.Service); wait > j.Timeout {
@@ -378,6 +388,15 @@
 	}
 }
 
+// provenRanBefore returns what is proven about the starts of a job that has not been
+// admitted and of which no earlier starts are known.
+func (d *Dispatcher) provenRanBefore(j *job) Ran {
+	if j.mayHaveCopy || !d.isLinkedToNextHolder(j.rangeName) || j.arrivedAt.Before(d.catchUpUntil) {
+		return Unknown
+	}
+	return NotRun
+}
+
 func (j *job) ranPending() Ran {
 	if j.provenStarts > 0 {
 		return DidRun
--- a/internal/dispatcher/refusal.go
+++ b/internal/dispatcher/refusal.go
@@ -33,9 +33,10 @@
 
 // refusalOf returns the refusal of a job if it was given after the waiter's
 // submission was received, otherwise nil. The clock of another entry may
-// differ by the allowed skew.
-func (d *Dispatcher) refusalOf(jobID string, w *waiter) *Answer {
-	r, ok := d.refusals[jobID]
+// differ by the allowed skew. If this entry has not held the range ever since the
+// refusal, another one may have run the job meanwhile.
+func (d *Dispatcher) refusalOf(j *Job, rangeName string, w *waiter) *Answer {
+	r, ok := d.refusals[j.ID]
 	if !ok {
 		return nil
 	}
@@ -46,5 +47,11 @@
 	if w.receivedAt.After(limit) {
 		return nil
 	}
+	if c := d.claims[rangeName]; c == nil || !c.reclaimAt.IsZero() || c.claimedAt.After(r.at) {
+		return &Answer{
+			JobID: j.ID, Home: j.Home, Outcome: Failed, Ran: Unknown, Reason: OutcomeUnknown,
+			Message: "the job was refused by this entry, and another one may have run it afterwards; submit it again",
+		}
+	}
 	return r.answer
 }
--- a/internal/dispatcher/simulation_test.go
+++ b/internal/dispatcher/simulation_test.go
@@ -30,6 +30,8 @@
 	lateAnswers []string
 	// lossless disables the random loss of requests and answers.
 	lossless bool
+	// onStart is called with each start of a task, if it is set.
+	onStart func(u *fakeUpstream)
 }
 
 // fakeFaults make the fakes break a guarantee, to check that violations are
--- a/internal/dispatcher/snapshot.go
+++ b/internal/dispatcher/snapshot.go
@@ -20,6 +20,7 @@
 	Verdicts        []router.Verdict
 	Upstreams       []UpstreamView
 	Loads           []LoadView
+	Evacuations     []EvacuationView
 }
 
 // RangeView is a range claimed by an entry.
@@ -61,6 +62,7 @@
 func (d *Dispatcher) FullSnapshot() Snapshot {
 	s := d.Snapshot()
 	s.Lessor = d.lessorVMs[d.config.DataCentre]
+	s.Evacuations = d.evacuationViews()
 	s.Verdicts = d.router.Verdicts()
 	for _, vm := range d.router.VMs() {
 		if c := d.claims[vm.Name]; c != nil {
--- a/internal/dispatcher/task.go
+++ b/internal/dispatcher/task.go
@@ -56,6 +56,8 @@
 	case !d.hasReliableFences(u, j.rangeName):
 		d.returnUnusedGrant(from, g, scheduler.Refused)
 		d.requestMissing(j, index)
+	case d.isEvacuated(u.DataCentre):
+		d.returnEvacuatedGrant(from, j, index, g)
 	default:
 		d.startTask(now, j, gr, u, g)
 		d.rebalance(j, index, u.DataCentre)
--- a/internal/listener/answer.go
+++ b/internal/listener/answer.go
@@ -55,7 +55,7 @@
 		return statusCancelled
 	case dispatcher.TaskFailed:
 		return http.StatusBadGateway
-	case dispatcher.Draining, dispatcher.Overloaded:
+	case dispatcher.Draining, dispatcher.Overloaded, dispatcher.Evacuated:
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusGatewayTimeout
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -54,6 +54,7 @@
 	LogTailCut:          {"log-tail-cut", true, true},
 	ConfigurationChange: {"configuration-change", true, false},
 	DiskRefused:         {"disk-refused", true, true},
+	EvacuationChanged:   {"evacuation-changed", true, false},
 }
 
 // Name returns the name of the event in kebab case.
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -53,6 +53,7 @@
 	LogTailCut          EventNumber = 704
 	ConfigurationChange EventNumber = 705
 	DiskRefused         EventNumber = 706
+	EvacuationChanged   EventNumber = 707
 )
 
 // Event is one recorded occurrence of a kind of event.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -174,13 +174,14 @@
 
 // setUsed sets the used capacity of an upstream and updates the totals of its pools.
 func (s *Scheduler) setUsed(u *upstream, used Shape, running int) {
+	usedBefore, freeBefore := u.used.Slots, u.freeSlots()
+	u.used, u.running = used, running
 	for _, member := range u.memberships {
-		member.pool.usedSlots[member.bucket] += used.Slots - u.used.Slots
+		member.pool.usedSlots[member.bucket] += used.Slots - usedBefore
 		if member.freeIndex != noIndex {
-			member.pool.freeSlots -= used.Slots - u.used.Slots
+			member.pool.freeSlots += u.freeSlots() - freeBefore
 		}
 	}
-	u.used, u.running = used, running
 }
 
 // updateFreeLists adds an upstream to the free lists of its pools, or removes it from them,
@@ -191,10 +192,10 @@
 		switch {
 		case open && member.freeIndex == noIndex:
 			member.pool.addFree(member)
-			member.pool.freeSlots += u.Capacity.Slots - u.used.Slots
+			member.pool.freeSlots += u.freeSlots()
 		case !open && member.freeIndex != noIndex:
 			member.pool.removeFree(member)
-			member.pool.freeSlots -= u.Capacity.Slots - u.used.Slots
+			member.pool.freeSlots -= u.freeSlots()
 		}
 	}
 }
@@ -208,6 +209,7 @@
 	switch r.Outcome {
 	case Succeeded:
 		u.limit.RecordSuccess()
+		s.raiseOffer(u, p, r, expected)
 		s.recordRunTime(u, p, r, expected)
 	case Failed, Refused:
 		u.limit.RecordFailure(now, expected)
@@ -273,10 +275,10 @@
 	for _, member := range u.memberships {
 		if member.freeIndex != noIndex {
 			member.pool.removeFree(member)
-			member.pool.freeSlots -= u.Capacity.Slots - u.used.Slots
+			member.pool.freeSlots -= u.freeSlots()
 		}
 		member.pool.usedSlots[member.bucket] -= u.used.Slots
-		member.pool.totalSlots -= u.Capacity.Slots
+		member.pool.totalSlots -= u.offered
 	}
 }
 
@@ -290,7 +292,7 @@
 			member = newPoolMember(u, p)
 		}
 		u.memberships = append(u.memberships, member)
-		p.totalSlots += u.Capacity.Slots
+		p.totalSlots += u.offered
 		p.usedSlots[member.bucket] += u.used.Slots
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -186,6 +186,7 @@
 	s.leavePools(u)
 	u.Upstream = a
 	u.limit.SetCeiling(max(1, a.Capacity.Slots))
+	u.updateOffer()
 	s.joinPools(u)
 	s.updateFreeLists(u)
 	s.unblockPools()
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -215,6 +215,9 @@
 					s.SetDown(n, down[n])
 				}
 			},
+			"return": func(*rapid.T) {
+				s.BeginReturn()
+			},
 			"release": func(t *rapid.T) {
 				if len(running) == 0 {
 					t.Skip()
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -18,7 +18,11 @@
 // upstream is an announced upstream with its used capacity and its state.
 type upstream struct {
 	Upstream
-	used        Shape
+	used Shape
+	// offered is how many slots are granted: all of them, or fewer while the upstream returns
+	// from an evacuation.
+	offered     int
+	returning   bool
 	running     int
 	down        bool
 	paused      bool
@@ -28,7 +32,11 @@
 
 func (u *upstream) acceptsTasks() bool {
 	return !u.Leaving && !u.down && !u.paused &&
-		u.used.Slots < u.Capacity.Slots && u.running < u.limit.Limit()
+		u.used.Slots < u.offered && u.running < u.limit.Limit()
+}
+
+func (u *upstream) freeSlots() int {
+	return max(0, u.offered-u.used.Slots)
 }
 
 // poolMember is an upstream in the pool of one service, with its measured speed. Members
