Operators can evacuate a data centre

Cause: evacuations in the replicated log had no interface for operators.

The daemon puts the set of its disk into force before anything is granted, and passes each newer set on to all VMs, since a VM without a link to the leader gets it only that way. A gauge shows the evacuated data centres.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -64,6 +64,7 @@
 		newCheckCommand(), newDemoCommand(), newSubmitCommand(), newCancelCommand(),
 		newStatusCommand(), newUpstreamsCommand(), newTimelineCommand(), newDrainCommand(),
 		newAskCommand(), newConfigCommand(), newApplyCommand(), newVMCommand(), newExplainCommand(),
+		newEvacuateCommand(),
 	)
 	return root
 }
--- a/internal/commander/status.go
+++ b/internal/commander/status.go
@@ -1,10 +1,15 @@
 package commander
 
 import (
+	"context"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"text/tabwriter"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -49,15 +54,81 @@
 
 func (o *operatorsClient) printStatusTable(c *cobra.Command) error {
 	t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+	statuses := o.readStatuses(c.Context())
 	_, _ = fmt.Fprintln(t, "VM\tDATA CENTRE\tROLES\tLESSOR\tRANGES\tLINKS\tJOBS\tQUEUED\tRUNNING\tSTATE")
-	for _, a := range o.addresses {
-		var s reporter.Status
-		if err := o.do(c.Context(), http.MethodGet, a, "/v1/status", &s); err != nil {
-			_, _ = fmt.Fprintf(t, "%s\t-\t-\t-\t-\t-\t-\t-\t-\tout of reach\n", a)
+	for i, s := range statuses {
+		if s == nil {
+			_, _ = fmt.Fprintf(t, "%s\t-\t-\t-\t-\t-\t-\t-\t-\tout of reach\n", o.addresses[i])
 			continue
 		}
 		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", s.VM, s.DataCentre,
-			strings.Join(s.Roles, ","), s.Lessor, formatRanges(&s), formatLinks(&s), s.Jobs, s.QueuedTasks, s.RunningTasks, formatState(&s))
+			strings.Join(s.Roles, ","), s.Lessor, formatRanges(s), formatLinks(s), s.Jobs, s.QueuedTasks, s.RunningTasks, formatState(s))
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("commander: %w", err)
+	}
+	return printEvacuations(c, statuses)
+}
+
+// statusTimeout bounds the wait for a daemon that is one of several asked.
+const statusTimeout = 3 * time.Second
+
+// readStatuses asks all daemons at the same time. The status of one that does not
+// answer is nil.
+func (o *operatorsClient) readStatuses(ctx context.Context) []*reporter.Status {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	statuses := make([]*reporter.Status, len(o.addresses))
+	var wg sync.WaitGroup
+	for i, a := range o.addresses {
+		wg.Go(func() {
+			s := &reporter.Status{}
+			if err := o.do(ctx, http.MethodGet, a, "/v1/status", s); err == nil {
+				statuses[i] = s
+			}
+		})
+	}
+	wg.Wait()
+	return statuses
+}
+
+// printEvacuations prints one line for each evacuated data centre, with the tasks of
+// all daemons that run there and the daemons that have not learned of it.
+func printEvacuations(c *cobra.Command, statuses []*reporter.Status) error {
+	newest := map[string]reporter.Evacuation{}
+	for _, s := range statuses {
+		if s == nil {
+			continue
+		}
+		for _, e := range s.Evacuations {
+			if e.Revision > newest[e.DataCentre].Revision {
+				newest[e.DataCentre] = e
+			}
+		}
+	}
+	t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+	header := "\nEVACUATED\tSINCE\tREVISION\tRUNNING\tNOT YET INFORMED\n"
+	for _, dc := range slices.Sorted(maps.Keys(newest)) {
+		e := newest[dc]
+		if e.State != reporter.Evacuated {
+			continue
+		}
+		running := 0
+		uninformed := "-"
+		for _, s := range statuses {
+			if s == nil {
+				continue
+			}
+			own := findEvacuation(s, dc)
+			if own == nil || own.Revision < e.Revision {
+				uninformed = strings.TrimPrefix(uninformed+","+s.VM, "-,")
+			}
+			if own != nil && own.RunningTasks != nil {
+				running += *own.RunningTasks
+			}
+		}
+		_, _ = fmt.Fprintf(t, "%s%s\t%s\t%d\t%d\t%s\n", header, dc, e.ChangedAt, e.Revision, running, uninformed)
+		header = ""
 	}
 	if err := t.Flush(); err != nil {
 		return fmt.Errorf("commander: %w", err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,6 +43,7 @@
 	keeper         *keeper.Keeper
 	configVersion  atomic.Uint64
 	registry       *prometheus.Registry
+	evacuated      *prometheus.GaugeVec
 	inputs         chan dispatcher.Input
 	inspections    chan func(*dispatcher.Dispatcher)
 	waiters        waiters
@@ -78,6 +79,7 @@
 		done:           make(chan struct{}),
 	}
 	d.startedAt = d.now()
+	d.evacuated = d.newEvacuatedGauge()
 	d.disp = dispatcher.New(d.startedAt, d.dispatcherConfig())
 	d.sender = sender.New(sender.Config{
 		MaxIdleConnections: s.Limits.ConnectionsPerUpstream, MaxResultBytes: s.Limits.MaxResultBytes, Now: d.now,
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -39,12 +39,15 @@
 		c.Disk = disk
 	}
 	k, err := keeper.New(c, keeper.Handlers{
-		Send: d.sendStateMessage, Broadcast: d.broadcastStateMessage, Activate: d.applyConfiguration, Event: d.record,
+		Send: d.sendStateMessage, Broadcast: d.broadcastStateMessage, Activate: d.applyConfiguration,
+		ActivateEvacuations: d.passOnEvacuations, Event: d.record,
 	})
 	if err != nil {
 		return fmt.Errorf("daemon: %w", err)
 	}
 	d.keeper = k
+	// The set of the disk is in force before the dispatcher grants anything.
+	d.applyEvacuations(k.Evacuations())
 	return nil
 }
 
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -75,6 +75,10 @@
 			FreeSlots: l.Load.FreeSlots, Waiting: l.Load.Waiting, Wait: l.Load.ExpectedWait.String(),
 		})
 	}
+	j.Evacuations = []reporter.Evacuation{}
+	for i := range s.Evacuations {
+		j.Evacuations = append(j.Evacuations, encodeEvacuationView(&s.Evacuations[i]))
+	}
 	return j
 }
 
@@ -103,6 +107,7 @@
 // newRegistry registers the metrics. None has a job or upstream label.
 func (d *Daemon) newRegistry() *prometheus.Registry {
 	r := prometheus.NewRegistry()
+	r.MustRegister(d.evacuated)
 	counter := func(name, help string, value func(s *dispatcher.Snapshot) float64) {
 		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "bronzedrift", Name: name, Help: help,
--- a/internal/daemon/waiters.go
+++ b/internal/daemon/waiters.go
@@ -85,6 +85,7 @@
 	}
 	handlers := d.handlers()
 	d.addConfigHandlers(&handlers)
+	d.addEvacuationHandlers(&handlers)
 	d.listener = listener.New(listener.Config{
 		MaxBodyBytes: d.settings.Limits.MaxBodyBytes, Services: d.settings.Services,
 		OperatorsSecret: operators, MonitoringSecret: monitoring, Now: d.now,
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -52,6 +52,12 @@
 	ChangeConfig func(ctx context.Context, ch configurer.Change) (configurer.Outcome, error)
 	Bootstrap    func(ctx context.Context) error
 	RemoveVM     func(ctx context.Context, vm string) error
+	// DataCentres returns the sorted names of the data centres that may be evacuated.
+	DataCentres func() []string
+	// Evacuate returns the record of a data centre after a quorum has committed that
+	// it is evacuated (active) or that its evacuation is cancelled.
+	Evacuate        func(ctx context.Context, dataCentre string, active bool) (configurer.Evacuation, error)
+	ReadEvacuations func(ctx context.Context) (configurer.EvacuationSet, error)
 }
 
 // ErrOverloaded reports that the daemon's input queue is full.
@@ -103,6 +109,9 @@
 	mux.Handle("PUT /v1/config", l.requireSecret(l.config.OperatorsSecret, l.serveChange))
 	mux.Handle("POST /v1/state/bootstrap", l.requireSecret(l.config.OperatorsSecret, l.serveBootstrap))
 	mux.Handle("DELETE /v1/state/vms/{vm}", l.requireSecret(l.config.OperatorsSecret, l.serveRemoveVM))
+	mux.Handle("GET /v1/evacuations", l.requireSecret(l.config.OperatorsSecret, l.serveEvacuations))
+	mux.Handle("PUT /v1/evacuations/{dataCentre}", l.requireSecret(l.config.OperatorsSecret, l.serveEvacuate))
+	mux.Handle("DELETE /v1/evacuations/{dataCentre}", l.requireSecret(l.config.OperatorsSecret, l.serveCancelEvacuation))
 	mux.HandleFunc("PUT /v1/verdicts/{kind}/{name}", l.serveVerdict)
 	return mux
 }
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -41,6 +41,8 @@
 	Messages        Messages   `json:"messages"`
 	Version         uint64     `json:"config-version"`
 	State           *State     `json:"state,omitempty"`
+	// Evacuations are the data centres that were ever evacuated, in the view of the daemon.
+	Evacuations []Evacuation `json:"evacuations"`
 }
 
 // Range is a range of job IDs that the daemon owns.
