Evacuations: tests that prove refusals and the lessor's obedience

Cause: mutation trials showed four rules without a test that fails without them.

Change: tests of a lessor that alone knows, of refusals without proof, and of the order to the next daemon without a pause. Free slots need no bound at zero, as upstreams that offer none are not counted.

Measured: each of these rules removed makes its test fail.

--- a/internal/commander/evacuate_test.go
+++ b/internal/commander/evacuate_test.go
@@ -102,10 +102,12 @@
 				addresses = append(addresses, (&fakeDaemon{order: answer}).start(t))
 			}
 			args := append([]string{"evacuate", "osijek-a", "--operators", strings.Join(addresses, ",")}, c.args...)
+			began := time.Now()
 			out, err := execute(t, args...)
 			if err != nil {
 				out += err.Error()
 			}
+			assert.Less(t, time.Since(began), orderHedgeDelay, "after a failure the next daemon is asked at once")
 			assert.Equal(t, c.code, ExitCode(err), out)
 			assert.Contains(t, out, c.text)
 		})
--- a/internal/dispatcher/evacuation_test.go
+++ b/internal/dispatcher/evacuation_test.go
@@ -358,6 +358,20 @@
 			assert.Equal(t, before, s.starts["a"])
 		})
 	}
+	t.Run("only the lessor knows while tasks of an uninformed entry wait there", func(t *testing.T) {
+		s := newEvacuationScenario(t)
+		s.serveOnlyIn("a")
+		c := s.newCaller(30, jobTimeout)
+		c.job.Home = "a"
+		s.submitAt(s.owner, c)
+		s.runFor(10 * time.Millisecond)
+		s.order("a", true)
+		s.inform(s.lessorOf("a"))
+		s.runFor(5 * time.Millisecond)
+		require.Equal(t, 12, s.starts["a"])
+		s.runFor(time.Second)
+		assert.Equal(t, 12, s.starts["a"], "the lessor grants nothing")
+	})
 	t.Run("only the lessor knows of the cancellation", func(t *testing.T) {
 		s := newEvacuationScenario(t)
 		lessor := s.lessorOf("a")
@@ -382,6 +396,76 @@
 	})
 }
 
+// forwardTo delivers a submission that another entry forwards, and returns the answers
+// that are sent to that entry at once.
+func (s *evacuationScenario) forwardTo(n *node, c *fakeCaller, hops int, received time.Time) []*Answer {
+	var out Effects
+	j := c.job
+	n.d.Handle(s.now, &Input{Received: &Received{From: "b-1", Message: Message{Forward: &Forward{
+		Request: 1, Hops: hops, Job: &j, TimeLeft: jobTimeout, Received: received,
+	}}}}, &out)
+	s.applyEffects(n, &out)
+	var answers []*Answer
+	for _, m := range out.Sends {
+		if m.Message.Reply != nil {
+			answers = append(answers, m.Message.Reply.Answer)
+		}
+	}
+	return answers
+}
+
+// TestRefusalsArePossibleOnlyWithProof guards against the answer that nothing has run
+// while another entry may have run the job.
+func TestRefusalsArePossibleOnlyWithProof(t *testing.T) {
+	t.Run("another owner may hold a copy", func(t *testing.T) {
+		s := newEvacuationScenario(t)
+		s.change("a", true)
+		s.change("b", true)
+		first, second := s.job(2), s.job(2)
+		refused := s.forwardTo(s.owner, first, 1, s.now)
+		require.Len(t, refused, 1)
+		assert.Equal(t, NotRun, refused[0].Ran)
+		assert.Empty(t, s.forwardTo(s.owner, second, 2, s.now))
+		s.change("b", false)
+		s.runFor(time.Second)
+		assert.Equal(t, 2, s.startsOf(second), "it waits for the end of an evacuation")
+	})
+	t.Run("it came back from another owner", func(t *testing.T) {
+		s := newEvacuationScenario(t)
+		s.change("a", true)
+		s.change("b", true)
+		s.isolate(s.owner, true)
+		c := s.job(2)
+		require.Empty(t, s.forwardTo(s.successor, c, 1, s.now))
+		s.runFor(10 * time.Millisecond)
+		s.declareDown(s.owner, true)
+		s.runFor(100 * time.Millisecond)
+		j := s.successor.d.jobs[c.job.ID]
+		require.NotNil(t, j, "the successor owns the job")
+		assert.Equal(t, jobQueued, j.state)
+		assert.Nil(t, j.answer)
+	})
+	t.Run("the range was held by another entry meanwhile", func(t *testing.T) {
+		s := newEvacuationScenario(t)
+		s.change("a", true)
+		s.change("b", true)
+		c := s.job(2)
+		received := s.now
+		require.Len(t, s.forwardTo(s.owner, c, 1, received), 1)
+		again := s.forwardTo(s.owner, c, 1, received)
+		require.Len(t, again, 1)
+		assert.Equal(t, NotRun, again[0].Ran, "a copy in transit gets the same answer")
+		s.runFor(10 * time.Millisecond)
+		s.declareDown(s.owner, true)
+		s.runFor(200 * time.Millisecond)
+		s.declareDown(s.owner, false)
+		s.runFor(time.Second)
+		again = s.forwardTo(s.owner, c, 1, received)
+		require.Len(t, again, 1)
+		assert.Equal(t, Unknown, again[0].Ran)
+	})
+}
+
 // TestEvacuationOfLowerRevisionIsIgnored guards against a delayed set that undoes a
 // newer one.
 func TestEvacuationOfLowerRevisionIsIgnored(t *testing.T) {
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -36,7 +36,7 @@
 }
 
 func (u *upstream) freeSlots() int {
-	return max(0, u.offered-u.used.Slots)
+	return u.offered - u.used.Slots
 }
 
 // poolMember is an upstream in the pool of one service, with its measured speed. Members
