--- a/internal/listener/evacuation.go
+++ b/internal/listener/evacuation.go
@@ -36,7 +36,7 @@
 	}
 	e, err := l.handlers.Evacuate(r.Context(), dataCentre, active)
 	if err != nil {
-		writeEvacuationError(w, err, "; the order may have been accepted, and may be repeated")
+		writeEvacuationError(w, err, "the order may have been accepted, and may be repeated")
 		return
 	}
 	writeJSON(w, http.StatusOK, encodeEvacuation(&e))
@@ -47,7 +47,7 @@
 func (l *Listener) serveEvacuations(w http.ResponseWriter, r *http.Request) {
 	set, err := l.handlers.ReadEvacuations(r.Context())
 	if err != nil {
-		writeEvacuationError(w, err, "")
+		writeEvacuationError(w, err, "nothing was read")
 		return
 	}
 	body := reporter.Evacuations{Revision: set.Revision, Evacuations: []reporter.Evacuation{}}
@@ -65,11 +65,13 @@
 	return j
 }
 
-// writeEvacuationError reports that no quorum has answered, or that the order was
-// refused.
-func writeEvacuationError(w http.ResponseWriter, err error, hint string) {
+// writeEvacuationError reports that no quorum has answered, with what that means for
+// the request, or that the order was refused.
+func writeEvacuationError(w http.ResponseWriter, err error, consequence string) {
 	if errors.Is(err, keeper.ErrUnavailable) {
-		writeJSON(w, http.StatusGatewayTimeout, reporter.EvacuationError{Outcome: "unknown", Message: err.Error() + hint})
+		writeJSON(w, http.StatusGatewayTimeout, reporter.EvacuationError{
+			Outcome: "unknown", Message: "no quorum of the state VMs has answered in time; " + consequence,
+		})
 		return
 	}
 	writeJSON(w, http.StatusConflict, reporter.EvacuationError{Outcome: "refused", Message: err.Error()})
--- a/internal/listener/evacuation_test.go
+++ b/internal/listener/evacuation_test.go
@@ -55,7 +55,7 @@
 		{http.MethodDelete, "/a", nil, 200, `{"data-centre":"a","state":"serving","revision":7,"changed-at":"2026-12-04T10:00:00Z"}`},
 		{http.MethodPut, "/c", nil, 404, `{"outcome":"refused","message":"data-centre: \"c\" is not known; the known ones are a, b"}`},
 		{http.MethodDelete, "/c", nil, 404, `{"outcome":"refused","message":"data-centre: \"c\" is not known; the known ones are a, b"}`},
-		{http.MethodPut, "/a", errors.Join(keeper.ErrUnavailable, context.DeadlineExceeded), 504, `"outcome":"unknown"`},
+		{http.MethodPut, "/a", errors.Join(keeper.ErrUnavailable, context.DeadlineExceeded), 504, `{"outcome":"unknown","message":"no quorum of the state VMs has answered in time; the order may have been accepted, and may be repeated"}`},
 		{http.MethodPut, "/a", &keeper.RefusedError{Message: "no"}, 409, `{"outcome":"refused","message":"no"}`},
 		{http.MethodGet, "", nil, 200, `{"revision":7,"evacuations":[{"data-centre":"a","state":"evacuated","revision":7,"changed-at":"2026-12-04T10:00:00Z"}]}`},
 		{http.MethodGet, "", keeper.ErrUnavailable, 504, `"outcome":"unknown"`},
