A restarted entry waits for announcements before it refuses

Cause: an entry that has just started may know the upstreams of an evacuated data centre before those of the others, and refused jobs that they could run.

Change: such jobs wait for the first announcements, as jobs do that fit no announced upstream. A benchmark measures the evacuation of many queued jobs.

--- a/internal/dispatcher/evacuation_test.go
+++ b/internal/dispatcher/evacuation_test.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -188,6 +187,44 @@
 	}
 }
 
+// TestRestartedEntryWaitsForAnnouncements guards against a refusal by an entry that has
+// just started and knows only the upstreams of an evacuated data centre yet.
+func TestRestartedEntryWaitsForAnnouncements(t *testing.T) {
+	c := newSimulation(1, []router.VM{{Name: "a-1", DataCentre: "a"}, {Name: "b-1", DataCentre: "b"}}, 0).config(router.VM{Name: "a-1", DataCentre: "a"})
+	c.Limits.ClockSkew = 0
+	now := testStart
+	d := New(now, c)
+	var out Effects
+	handle := func(in Input) {
+		now = now.Add(10 * time.Millisecond)
+		out = Effects{}
+		d.Handle(now, &in, &out)
+	}
+	upstream := func(dc string) *Upstream {
+		return &Upstream{Name: dc + "-u", DataCentre: dc, Capacity: scheduler.Shape{Slots: 1}, Services: []string{"booking"}, Announced: now}
+	}
+	handle(Input{Evacuations: []Evacuation{{DataCentre: "a", Active: true, Revision: 1, ChangedAt: now}}})
+	handle(Input{PeerUp: "b-1"})
+	handle(Input{Received: &Received{From: "b-1", Message: Message{Hello: &Hello{VM: "b-1", Started: now}}}})
+	handle(Input{Announce: upstream("a")})
+	now = now.Add(slowTickInterval)
+	handle(Input{Tick: true})
+	job := &Job{ID: "j", Home: "a", Submitted: now.Add(5 * time.Millisecond), Team: "team", Service: "booking", Timeout: jobTimeout, Tasks: []Task{{Shape: shapeOfOne}}}
+	handle(Input{Submit: &Submission{Waiter: 1, Job: job}})
+	handle(Input{Tick: true})
+	require.Empty(t, out.Replies)
+	handle(Input{Received: &Received{From: "b-1", Message: Message{Announce: upstream("b")}}})
+	handle(Input{Tick: true})
+	assert.Empty(t, out.Replies)
+	require.Equal(t, jobQueued, d.jobs["j"].state)
+	load := &LoadReport{DataCentre: "b", Services: []scheduler.Load{{Service: "booking", Slots: 1, FreeSlots: 1}}}
+	handle(Input{Received: &Received{From: "b-1", Message: Message{Load: load}}})
+	now = now.Add(slowTickInterval)
+	handle(Input{Tick: true})
+	assert.Empty(t, out.Replies)
+	assert.Equal(t, 1, d.jobs["j"].groups[0].requested["b"])
+}
+
 // TestQueuedJobsWithoutAnotherDataCentre guards against queued jobs that are left
 // waiting when the last data centre is evacuated, and against an answer that a job
 // has not run of which tasks have started.
@@ -612,25 +649,30 @@
 	}
 }
 
-func BenchmarkMoveEvacuatedDemands(b *testing.B) {
-	w := newSimulation(1, testEntries[:1], 1)
-	w.runUntil(w.now.Add(2 * time.Second))
-	n := w.nodes[0]
-	for i := range 2000 {
-		u := w.upstreams[0].info
-		u.Name = fmt.Sprint("u", i)
-		u.Capacity = scheduler.Shape{Slots: 1}
-		w.input(n, Input{Announce: &u})
-	}
-	for range 5000 {
-		w.submitAttempt(w.newCaller(1, time.Hour))
-	}
-	w.runUntil(w.now.Add(50 * time.Millisecond))
-	n.d.evacuations["a"] = Evacuation{DataCentre: "a", Active: true, Revision: 1}
-	n.d.effects = &Effects{}
-	b.ReportAllocs()
+// BenchmarkEvacuationOfQueuedJobs measures an evacuation that refuses 5,000 queued jobs, with
+// 2,000 upstreams.
+func BenchmarkEvacuationOfQueuedJobs(b *testing.B) {
 	for b.Loop() {
-		n.d.effects.Reset()
-		n.d.moveEvacuatedDemands(w.now)
+		b.StopTimer()
+		w := newSimulation(1, testEntries[:1], 2000)
+		w.lossless = true
+		for _, u := range w.upstreams {
+			u.info.Capacity.Slots = 1
+		}
+		w.runUntil(w.now.Add(2 * time.Second))
+		n := w.nodes[0]
+		for range 7000 {
+			c := w.newCaller(1, time.Hour)
+			c.attempt = 1
+			j := c.job
+			w.input(n, Input{Submit: &Submission{Waiter: waiterOf(c.job.ID, 1), Job: &j}})
+		}
+		require.Equal(b, 5000, n.d.Snapshot().QueuedTasks)
+		var out Effects
+		b.StartTimer()
+		n.d.Handle(w.now, &Input{Evacuations: []Evacuation{{DataCentre: "a", Active: true, Revision: 1}}}, &out)
+		b.StopTimer()
+		require.Zero(b, n.d.Snapshot().QueuedTasks)
+		b.StartTimer()
 	}
 }
--- a/internal/dispatcher/owner.go
+++ b/internal/dispatcher/owner.go
@@ -238,9 +238,16 @@
 }
 
 // isWaitingForAnnouncements reports whether some task of the job fits no
-// announced upstream yet and the wait for the first announcements is not over.
+// announced upstream yet, or only those of evacuated data centres, and the wait for
+// the first announcements is not over.
 func (d *Dispatcher) isWaitingForAnnouncements(now time.Time, j *job) bool {
-	return !d.isAnnouncementWaitOver(now) && !d.hasCapacity(j.Job)
+	return !d.isAnnouncementWaitOver(now) && (!d.hasCapacity(j.Job) || d.isJobEvacuated(now, j.Job))
+}
+
+// isJobEvacuated reports whether some task of a job could run in evacuated data
+// centres only.
+func (d *Dispatcher) isJobEvacuated(now time.Time, s *Job) bool {
+	return d.isAnyEvacuated() && d.newEvacuationCheck(now).isJobEvacuated(s)
 }
 
 // hasCapacity reports whether each task of a job fits the total capacity of
@@ -283,7 +290,7 @@
 	if ran != NotRun {
 		return true
 	}
-	if d.isAnyEvacuated() && d.newEvacuationCheck(now).isJobEvacuated(j.Job) {
+	if d.isJobEvacuated(now, j.Job) {
 		d.refuseEvacuated(now, j)
 		return false
 	}
