--- a/internal/dispatcher/owner.go
+++ b/internal/dispatcher/owner.go
@@ -109,7 +109,7 @@
 		d.refuse(w, s, TimedOut, Unknown, "the job's timeout was over before its owner was found")
 		return
 	}
-	if refused := d.refusalOf(s, rangeName, &w); refused != nil {
+	if refused := d.refusalOf(s, rangeName, &w, hops); refused != nil {
 		d.reply(w, refused)
 		return
 	}
--- a/internal/dispatcher/refusal.go
+++ b/internal/dispatcher/refusal.go
@@ -33,9 +33,11 @@
 
 // refusalOf returns the refusal of a job if it was given after the waiter's
 // submission was received, otherwise nil. The clock of another entry may
-// differ by the allowed skew. If this entry has not held the range ever since the
-// refusal, another one may have run the job meanwhile.
-func (d *Dispatcher) refusalOf(j *Job, rangeName string, w *waiter) *Answer {
+// differ by the allowed skew. If the submission was at another owner or this entry
+// has not held the range ever since the refusal, another one may have run the job
+// meanwhile. This entry may not have noticed that, since it learns of a lost range
+// only when an upstream refuses its epoch.
+func (d *Dispatcher) refusalOf(j *Job, rangeName string, w *waiter, hops int) *Answer {
 	r, ok := d.refusals[j.ID]
 	if !ok {
 		return nil
@@ -47,7 +49,7 @@
 	if w.receivedAt.After(limit) {
 		return nil
 	}
-	if c := d.claims[rangeName]; c == nil || !c.reclaimAt.IsZero() || c.claimedAt.After(r.at) {
+	if c := d.claims[rangeName]; wasAtOtherOwner(w, hops) || c == nil || !c.reclaimAt.IsZero() || c.claimedAt.After(r.at) {
 		return &Answer{
 			JobID: j.ID, Home: j.Home, Outcome: Failed, Ran: Unknown, Reason: OutcomeUnknown,
 			Message: "the job was refused by this entry, and another one may have run it afterwards; submit it again",
