A resubmitted job is refused only if the next holder has no copy

Change: before a resubmitted job is refused because of evacuations, the next holder is asked for it. Without an answer the job waits.

--- a/internal/dispatcher/evacuation.go
+++ b/internal/dispatcher/evacuation.go
@@ -103,7 +103,7 @@
 func (d *Dispatcher) moveEvacuatedDemands(now time.Time) {
 	check := d.newEvacuationCheck(now)
 	for _, j := range d.jobsToMove() {
-		if check.isJobEvacuated(j.Job) && d.provenRan(j) == NotRun {
+		if check.isJobEvacuated(j.Job) && d.provenRan(j) == NotRun && d.isAbsenceProven(now, j) {
 			d.refuseEvacuated(now, j)
 			continue
 		}
--- a/internal/dispatcher/forward.go
+++ b/internal/dispatcher/forward.go
@@ -20,6 +20,8 @@
 	unsentSince    time.Time
 	deadline       time.Time
 	pendingReplies int
+	// absenceOf is the job of which a query asks the next holder for a copy.
+	absenceOf *job
 }
 
 const (
@@ -74,6 +76,10 @@
 	if f == nil || f.jobID() != r.Answer.JobID {
 		return
 	}
+	if f.absenceOf != nil {
+		d.handleAbsence(f, r.Answer)
+		return
+	}
 	if f.query != nil && r.Answer.Reason == UnknownJob && f.pendingReplies > 1 {
 		f.pendingReplies--
 		return
@@ -133,6 +139,8 @@
 func (d *Dispatcher) expireForwards(now time.Time) {
 	for _, f := range d.orderedForwards() {
 		switch {
+		case f.absenceOf != nil:
+			d.expireAbsence(now, f)
 		case !now.Before(f.deadline):
 			delete(d.forwards, f.request)
 			d.reply(f.waiter, f.failure(TimedOut, "the owner of the job has not answered in time"))
--- a/internal/dispatcher/owned.go
+++ b/internal/dispatcher/owned.go
@@ -21,6 +21,7 @@
 	joinOnly  bool
 	// mayHaveCopy is set if another entry may hold a copy of the submission.
 	mayHaveCopy bool
+	absence     absenceState
 	tasks       []taskState
 	groups      []group
 	totalWork   time.Duration
--- a/internal/dispatcher/owner.go
+++ b/internal/dispatcher/owner.go
@@ -291,6 +291,9 @@
 		return true
 	}
 	if d.isJobEvacuated(now, j.Job) {
+		if !d.isAbsenceProven(now, j) {
+			return true
+		}
 		d.refuseEvacuated(now, j)
 		return false
 	}
