The copy of a refused job is not passed on by an entry that drains

Cause: in a history, a copy of a submission was in transit while its owner refused the job and began to drain. The owner passed the copy on, and the next holder ran a job that was answered as not run.

Change: a remembered refusal is also answered to a copy that would be passed on.

Measured: the new test fails without the change.

--- a/internal/dispatcher/evacuation_test.go
+++ b/internal/dispatcher/evacuation_test.go
@@ -497,6 +497,19 @@
 			assert.NotEqual(t, NotRun, a.Ran, a.Message)
 		}
 	})
+	t.Run("a copy in transit reaches an owner that drains", func(t *testing.T) {
+		s := newEvacuationScenario(t)
+		s.change("a", true)
+		s.change("b", true)
+		c := s.job(2)
+		received := s.now
+		require.Len(t, s.forwardTo(s.owner, c, 1, received), 1)
+		s.input(s.owner, Input{Drain: true})
+		s.change("b", false)
+		require.Len(t, s.forwardTo(s.owner, c, 1, received), 1)
+		s.runFor(time.Second)
+		assert.Zero(t, s.startsOf(c), "the copy of a refused job is not passed on")
+	})
 	t.Run("it came back from another owner", func(t *testing.T) {
 		s := newEvacuationScenario(t)
 		s.change("a", true)
--- a/internal/dispatcher/owner.go
+++ b/internal/dispatcher/owner.go
@@ -45,6 +45,10 @@
 		d.counts.BouncedForwards++
 		d.refuse(w, j, OutcomeUnknown, Unknown, "the entries disagree on the owner of this job; submit it again")
 	default:
+		if refused := d.refusalOf(j, rangeName, &w, hops); refused != nil {
+			d.reply(w, refused)
+			return
+		}
 		d.forwardJob(now, j, w, holder, hops+1, joinOnly)
 	}
 }
