--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -66,6 +66,7 @@
 		newCheckCommand(), newDemoCommand(), newSubmitCommand(), newCancelCommand(),
 		newStatusCommand(), newUpstreamsCommand(), newTimelineCommand(), newDrainCommand(),
 		newAskCommand(), newConfigCommand(forms), newApplyCommand(), newVMCommand(), newExplainCommand(),
+		newEvacuateCommand(),
 	)
 	return root
 }
--- a/internal/dispatcher/owned.go
+++ b/internal/dispatcher/owned.go
@@ -21,6 +21,7 @@
 	joinOnly  bool
 	// mayHaveCopy is set if another entry may hold a copy of the submission.
 	mayHaveCopy bool
+	absence     absenceState
 	tasks       []taskState
 	groups      []group
 	totalWork   time.Duration
@@ -94,6 +95,8 @@
 	// receivedAt is when the first entry received the submission.
 	receivedAt time.Time
 	deadline   time.Time
+	// wasForwarded is set if this entry has sent the submission to another owner.
+	wasForwarded bool
 }
 
 func (w *waiter) isSame(o *waiter) bool {
--- a/internal/dispatcher/owner.go
+++ b/internal/dispatcher/owner.go
@@ -45,6 +45,10 @@
 		d.counts.BouncedForwards++
 		d.refuse(w, j, OutcomeUnknown, Unknown, "the entries disagree on the owner of this job; submit it again")
 	default:
+		if refused := d.refusalOf(j, rangeName, &w, hops); refused != nil {
+			d.reply(w, refused)
+			return
+		}
 		d.forwardJob(now, j, w, holder, hops+1, joinOnly)
 	}
 }
@@ -52,7 +56,7 @@
 // wasAtOtherOwner reports whether a submission was forwarded to another owner
 // before: it came back here or took more than one hop.
 func wasAtOtherOwner(w *waiter, hops int) bool {
-	return hops > 1 || w.peer == "" && hops > 0
+	return hops > 1 || w.wasForwarded || w.peer == "" && hops > 0
 }
 
 // joinKnown answers a resubmission from the known job with the same id.
@@ -109,7 +113,7 @@
 		d.refuse(w, s, TimedOut, Unknown, "the job's timeout was over before its owner was found")
 		return
 	}
-	if refused := d.refusalOf(s.ID, &w); refused != nil {
+	if refused := d.refusalOf(s, rangeName, &w, hops); refused != nil {
 		d.reply(w, refused)
 		return
 	}
@@ -238,9 +242,16 @@
 }
 
 // isWaitingForAnnouncements reports whether some task of the job fits no
-// announced upstream yet and the wait for the first announcements is not over.
+// announced upstream yet, or only those of evacuated data centres, and the wait for
+// the first announcements is not over.
 func (d *Dispatcher) isWaitingForAnnouncements(now time.Time, j *job) bool {
-	return !d.isAnnouncementWaitOver(now) && !d.hasCapacity(j.Job)
+	return !d.isAnnouncementWaitOver(now) && (!d.hasCapacity(j.Job) || d.isJobEvacuated(now, j.Job))
+}
+
+// isJobEvacuated reports whether some task of a job could run in evacuated data
+// centres only.
+func (d *Dispatcher) isJobEvacuated(now time.Time, s *Job) bool {
+	return d.isAnyEvacuated() && d.newEvacuationCheck(now).isJobEvacuated(s)
 }
 
 // hasCapacity reports whether each task of a job fits the total capacity of
@@ -267,14 +278,27 @@
 }
 
 // isAdmissible reports whether a job can run and be answered in time, and
-// refuses it otherwise.
+// refuses it otherwise. A job of which another entry may hold a copy is not
+// refused because of evacuations or waits: the answer could only be Unknown, and
+// would be kept.
 func (d *Dispatcher) isAdmissible(now time.Time, j *job) bool {
 	if !d.hasCapacity(j.Job) {
 		d.fail(now, j, NeverFits, NotRun, "tasks: no announced upstream of the service could ever hold a task of this size")
 		return false
 	}
+	ran := d.provenRanBefore(j)
 	if d.queuedTasks+len(j.Tasks) > d.config.Limits.MaxQueuedTasks {
-		d.fail(now, j, Overloaded, NotRun, "the queue of this entry is full")
+		d.fail(now, j, Overloaded, ran, "the queue of this entry is full")
+		return false
+	}
+	if ran != NotRun {
+		return true
+	}
+	if d.isJobEvacuated(now, j.Job) {
+		if !d.isAbsenceProven(now, j) {
+			return true
+		}
+		d.refuseEvacuated(now, j)
 		return false
 	}
 	if wait := d.shortestWait(j.Service); wait > j.Timeout {
@@ -378,6 +402,15 @@
 	}
 }
 
+// provenRanBefore returns what is proven about the starts of a job that has not been
+// admitted and of which no earlier starts are known.
+func (d *Dispatcher) provenRanBefore(j *job) Ran {
+	if j.mayHaveCopy || !d.isLinkedToNextHolder(j.rangeName) || j.arrivedAt.Before(d.catchUpUntil) {
+		return Unknown
+	}
+	return NotRun
+}
+
 func (j *job) ranPending() Ran {
 	if j.provenStarts > 0 {
 		return DidRun
