An entry is ready while all data centres are evacuated

Cause: readiness asked for a holder with open upstreams, so that with the last evacuation all entries would count as failed. Change: a holder that reports evacuated upstreams counts as well. Result: TestReadiness failed before for all upstreams evacuated.

--- a/internal/conductor/heartbeat.go
+++ b/internal/conductor/heartbeat.go
@@ -12,13 +12,14 @@
 }
 
 // isReady reports whether this VM can serve callers: a configuration is in force and a
-// holder with upstreams is reachable.
+// holder with upstreams is reachable. If all upstreams are evacuated, callers get their refusal
+// from here as well as from any other VM.
 func (d *Conductor) isReady(now time.Time) bool {
 	if d.draining || d.version.Load() == 0 {
 		return false
 	}
 	for _, p := range d.peers.Reachable(now) {
-		if p.Load.TotalMilliCores > 0 {
+		if p.Load.TotalMilliCores > 0 || p.Load.IsEvacuated {
 			return true
 		}
 	}
