--- a/internal/conductor/evacuation.go
+++ b/internal/conductor/evacuation.go
@@ -36,15 +36,3 @@
 	}
 	return strings.Join(names, ", ") + " evacuated"
 }
-
-// updateEvacuationMetrics shows how far the evacuations are.
-func (d *Conductor) updateEvacuationMetrics() {
-	for _, e := range d.keeper.Evacuations().Evacuations {
-		isActive := 0.0
-		if e.Active {
-			isActive = 1
-		}
-		d.metrics.evacuated.WithLabelValues(e.DataCentre).Set(isActive)
-		d.metrics.evacuationRuns.WithLabelValues(e.DataCentre).Set(float64(d.holder.RunsIn(e.DataCentre)))
-	}
-}
--- a/internal/conductor/heartbeat.go
+++ b/internal/conductor/heartbeat.go
@@ -131,7 +131,7 @@
 		}
 	}
 	d.closeFallbackLinks(now)
-	d.updateEvacuationMetrics()
+	d.updateGauges(now)
 	for number, s := range d.sessions {
 		if now.Sub(s.lastUsedAt) > sessionRetention {
 			delete(d.sessions, number)
--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -20,6 +22,10 @@
 	// evacuated and evacuationRuns have a series for each data centre that was ever evacuated.
 	evacuated      *prometheus.GaugeVec
 	evacuationRuns *prometheus.GaugeVec
+	// reserved, idle and late have a series for each size class of tasks, shares one for each
+	// kind of job and origin. They stay empty while the policy is off.
+	reserved, idle, late *prometheus.GaugeVec
+	shares               *prometheus.GaugeVec
 }
 
 // latencyBuckets are in seconds and double from 5 ms to 10 s; job objectives are 0.1 to 2 s.
@@ -45,7 +51,20 @@
 		evacuationRuns: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "bronzedrift_evacuation_runs", Help: "Runs on the upstreams of this VM in a data centre that is or was evacuated.",
 		}, []string{"data_centre"}),
+		reserved: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "bronzedrift_reserved_core_seconds", Help: "Capacity reserved for waiting tasks since the start, by size class.",
+		}, []string{"millicores_up_to"}),
+		idle: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "bronzedrift_reserved_idle_core_seconds", Help: "The part of it that was free, by size class.",
+		}, []string{"millicores_up_to"}),
+		late: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "bronzedrift_late_reservations", Help: "Reservations whose time had passed when the next round began, by size class.",
+		}, []string{"millicores_up_to"}),
+		shares: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "bronzedrift_share_cores", Help: "Share of the capacity of a kind of job and an origin, in core-seconds per second.",
+		}, []string{"kind", "origin"}),
 	}
+	m.registry.MustRegister(m.reserved, m.idle, m.late, m.shares)
 	m.registry.MustRegister(m.decisions, m.answers, m.starts, m.evacuated, m.evacuationRuns)
 	return m
 }
@@ -64,3 +83,28 @@
 func (d *Conductor) MetricsHandler() http.Handler {
 	return promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{})
 }
+
+// updateGauges sets the gauges that are not counted at the event itself.
+func (d *Conductor) updateGauges(now time.Time) {
+	for _, e := range d.keeper.Evacuations().Evacuations {
+		isActive := 0.0
+		if e.Active {
+			isActive = 1
+		}
+		d.metrics.evacuated.WithLabelValues(e.DataCentre).Set(isActive)
+		d.metrics.evacuationRuns.WithLabelValues(e.DataCentre).Set(float64(d.holder.RunsIn(e.DataCentre)))
+	}
+	for _, c := range d.holder.Reservations().Classes {
+		class := strconv.FormatInt(c.UpTo, 10)
+		if c.UpTo == 0 {
+			class = "any"
+		}
+		d.metrics.reserved.WithLabelValues(class).Set(c.ReservedCoreSeconds)
+		d.metrics.idle.WithLabelValues(class).Set(c.IdleCoreSeconds)
+		d.metrics.late.WithLabelValues(class).Set(float64(c.Late))
+	}
+	d.metrics.shares.Reset()
+	for _, s := range d.holder.Shares(now) {
+		d.metrics.shares.WithLabelValues(s.Kind, s.Origin).Set(s.Share)
+	}
+}
