--- /dev/null
+++ b/review/stand/client.go
@@ -0,0 +1,93 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+)
+
+func isReady(n *node) bool {
+	q, err := http.NewRequest(http.MethodGet, "http://"+netip.AddrPortFrom(n.ip, readinessPort).String()+"/bronzedrift/ready", nil)
+	if err != nil {
+		return false
+	}
+	answer, err := (&http.Client{Timeout: time.Second}).Do(q)
+	if err != nil {
+		return false
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+// configuration returns a valid configuration with one route.
+func configuration(version int) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r-wrr6x73","host":%q,"pathPrefix":%q,"kind":"non_idempotent","timeoutMs":1500,`+
+		`"targetLatencyMs":60,"priority":0,"service":%q,"maxAttempts":4,"stretch":1.6}],`+
+		`"services":[{"name":%q,"healthPath":"/health","maxConns":64,"protocol":"h1","tls":false,"enforcesCapacity":true,"standby":false}],`+
+		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`,
+		version, hostName, routePrefix, serviceName, serviceName)
+}
+
+// sendConfiguration sends a configuration as the operator does: to one daemon after the other, with
+// growing pauses, until it is acknowledged or the time is over.
+func (w *world) sendConfiguration(text string, limit time.Duration) bool {
+	end, pause := time.Now().Add(limit), 50*time.Millisecond
+	for i := rand.IntN(len(w.states)); time.Now().Before(end); i++ {
+		target := w.states[i%len(w.states)]
+		status, answer, err := call(w.ctx, http.MethodPut, "http://"+target.control().String()+"/bronzedrift/config", []byte(text), "", time.Second)
+		w.record.add("operator", "PUT config %.14s to %s: %s", text, target.name, outcome(status, answer, err))
+		if err == nil && status == http.StatusOK {
+			return true
+		}
+		time.Sleep(pause)
+		pause = min(2*pause, 400*time.Millisecond)
+	}
+	return false
+}
+
+// readConfiguration asks one daemon after the other for the configuration for a time, and returns
+// the text of the first answer.
+func (w *world) readConfiguration(limit time.Duration) (string, bool) {
+	end := time.Now().Add(limit)
+	for i := 0; time.Now().Before(end); i++ {
+		target := w.states[i%len(w.states)]
+		status, answer, err := call(w.ctx, http.MethodGet, "http://"+target.control().String()+"/bronzedrift/config", nil, "", time.Second)
+		w.record.add("operator", "GET config from %s: %s", target.name, outcome(status, answer, err))
+		if err == nil && status == http.StatusOK {
+			return string(answer), true
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return "", false
+}
+
+func outcome(status int, answer []byte, err error) string {
+	if err != nil {
+		return "no response: " + strings.ReplaceAll(err.Error(), "\n", " ")
+	}
+	return fmt.Sprintf("%d %.90s", status, answer)
+}
+
+// submit sends a job and returns the status of the answer, 0 without one.
+func (w *world) submit(n *node, id, body string, deadline time.Duration) (int, string) {
+	w.record.add("client", "POST %s to %s: %s", id, n.name, body)
+	status, answer, err := call(w.ctx, http.MethodPost, "http://"+n.frontend().String()+routePrefix+id, []byte(body), hostName, deadline)
+	w.record.add("client", "POST %s to %s: %s", id, n.name, outcome(status, answer, err))
+	return status, string(answer)
+}
+
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// step is one step of a job.
+func stepText(count int, cpu, estimateMs int64, more string) string {
+	return fmt.Sprintf(`{"count":%d,"cpu":%d,"memMb":64,"estimateMs":%d%s}`, count, cpu, estimateMs, more)
+}
+
+func jobText(cpu, workMs int64, steps ...string) string {
+	return fmt.Sprintf(`{"spec":"%d %d","bestEffort":true,"steps":[%s]}`, cpu, workMs, strings.Join(steps, ","))
+}
--- /dev/null
+++ b/review/stand/runner.go
@@ -0,0 +1,405 @@
+//go:build review
+
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// runner is a stand-in for one runner. It guards its capacity, keeps leases, refuses lower
+// generation numbers, and lists ends until they are taken note of.
+type runner struct {
+	world   *world
+	id      string
+	zone    string
+	address netip.AddrPort
+	cpu     int64
+	labels  []string
+
+	mu        sync.Mutex
+	born      time.Time
+	sequence  uint64
+	token     uint64
+	leaseEnd  time.Duration
+	runs      map[string]*taskRun
+	highest   map[string]int
+	ends      [][]any
+	lastEnd   int
+	changed   chan struct{}
+	state     string
+	isDown    bool
+	server    *http.Server
+	stopBeats context.CancelFunc
+	reportTo  netip.AddrPort
+	// firstReport is the daemon that the runner calls first after its start, if it is valid.
+	firstReport netip.AddrPort
+}
+
+// taskRun is one run of a task.
+type taskRun struct {
+	task   string
+	number int
+	cpu    int64
+	endsAt time.Time
+	how    string
+}
+
+// firstClock is what the clock of a runner shows at its start.
+const firstClock = 500 * time.Millisecond
+
+func (w *world) addRunner(zone string, cpu int64, labels []string) (*runner, error) {
+	id := fmt.Sprintf("i-%08x", rand.Uint32())
+	r := &runner{
+		world: w, id: id, zone: zone, cpu: cpu, labels: append(append([]string{}, labels...), "r"+zone+"-1"),
+		address: netip.AddrPortFrom(w.nextIP(id), runnerPort),
+	}
+	w.runners = append(w.runners, r)
+	return r, r.boot()
+}
+
+// boot starts a life of the runner: it holds and knows nothing of before.
+func (r *runner) boot() error {
+	listener, err := net.Listen("tcp", r.address.String())
+	if err != nil {
+		return fmt.Errorf("%w: %w", errNotRun, err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.born, r.sequence, r.token, r.leaseEnd, r.lastEnd = time.Now(), 0, 0, 0, 0
+	r.runs, r.highest, r.ends, r.changed = map[string]*taskRun{}, map[string]int{}, nil, make(chan struct{})
+	r.state, r.isDown = "ready", false
+	born := r.born
+	r.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { r.serve(w, q, born) })}
+	server := r.server
+	go func() { _ = server.Serve(listener) }()
+	ctx, cancel := context.WithCancel(r.world.ctx)
+	r.stopBeats = cancel
+	go r.report(ctx)
+	go r.expire(ctx)
+	r.world.record.add(r.id, "runner boots in %s at %s, cpu %d, labels %v, born %d", r.zone, r.address, r.cpu, r.labels, born.UnixMilli())
+	return nil
+}
+
+// crash ends the process of the runner: everything that runs there ends, nothing is sent.
+func (r *runner) crash() {
+	r.mu.Lock()
+	r.isDown = true
+	for name, t := range r.runs {
+		r.world.record.add(r.id, "run ends: %s run %d with its runner", name, t.number)
+		if r.world.onEnd != nil {
+			r.world.onEnd(r, t, "")
+		}
+	}
+	r.runs = map[string]*taskRun{}
+	r.stopBeats()
+	server := r.server
+	r.reportTo = r.firstReport
+	r.mu.Unlock()
+	_ = server.Close()
+	r.world.record.add(r.id, "runner is gone")
+}
+
+// drain reports that the runner drains and tells whether that was acknowledged.
+func (r *runner) drain() bool {
+	r.mu.Lock()
+	r.state = "draining"
+	r.mu.Unlock()
+	text, err := r.status()
+	return err == nil && r.sendReport(r.world.ctx, http.MethodPut, text)
+}
+
+// leave announces the end of the runner, and ends it once a daemon has acknowledged that. The response
+// of the first daemon is lost if isLost is set.
+func (r *runner) leave(isLost bool) {
+	r.stopReports()
+	if isLost {
+		r.mu.Lock()
+		target := r.reportTo
+		r.mu.Unlock()
+		if !target.IsValid() {
+			target = r.world.states[0].control()
+		}
+		status, answer, err := call(r.world.ctx, http.MethodDelete, "http://"+target.String()+"/bronzedrift/instances/"+r.id, nil, "", time.Second)
+		r.world.record.add(r.id, "DELETE to %s: %s; the response is lost", target, outcome(status, answer, err))
+		time.Sleep(time.Second)
+		r.reportTo = netip.AddrPort{}
+	}
+	r.world.record.add(r.id, "sends DELETE")
+	acked := r.sendReport(r.world.ctx, http.MethodDelete, nil)
+	r.world.record.add(r.id, "DELETE acknowledged: %t", acked)
+	r.crash()
+}
+
+// stopReports ends the status reports; what runs goes on.
+func (r *runner) stopReports() {
+	r.stopBeats()
+	go r.expire(r.world.ctx)
+}
+
+func (r *runner) status() ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sequence++
+	body := map[string]any{
+		"service": serviceName, "address": r.address.String(), "zone": r.zone, "version": "v1", "slots": 8, "state": r.state,
+		"coldRemainingMs": 0, "capacity": map[string]int64{"cpu": r.cpu, "memMb": 32768, "gpu": 0}, "labels": r.labels,
+		"clockMs": r.clock().Milliseconds(), "sequence": r.sequence, "born": r.born.UnixMilli(),
+	}
+	if r.state == "draining" {
+		body["remainingMs"] = drainTime.Milliseconds()
+	}
+	return json.Marshal(body)
+}
+
+func (r *runner) clock() time.Duration { return time.Since(r.born) + firstClock }
+
+// settle ends the runs that are due or whose lease has lapsed. The lock is held.
+func (r *runner) settle() {
+	now := time.Now()
+	lapsed := r.clock() > r.leaseEnd
+	for _, t := range r.runs {
+		switch {
+		case !t.endsAt.After(now):
+			r.end(t, t.how)
+		case lapsed:
+			r.end(t, "lapsed")
+		}
+	}
+}
+
+func (r *runner) end(t *taskRun, how string) {
+	delete(r.runs, t.task)
+	r.lastEnd++
+	r.ends = append(r.ends, []any{r.lastEnd, t.task, t.number, how, ""})
+	r.world.record.add(r.id, "run ends: %s run %d %s", t.task, t.number, how)
+	if r.world.onEnd != nil {
+		r.world.onEnd(r, t, how)
+	}
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *runner) expire(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		r.settle()
+		r.mu.Unlock()
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// runOrder is the body of a call to a runner.
+type runOrder struct {
+	Task         string `json:"task"`
+	Run          int    `json:"run"`
+	Spec         string `json:"spec"`
+	UntilMs      int64  `json:"untilMs"`
+	FencingToken uint64 `json:"fencingToken"`
+	LastSeen     int    `json:"lastSeen"`
+	WaitMs       int64  `json:"waitMs"`
+}
+
+func (r *runner) serve(w http.ResponseWriter, q *http.Request, born time.Time) {
+	if q.Method == http.MethodGet {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	var o runOrder
+	text, err := io.ReadAll(q.Body)
+	if err != nil || json.Unmarshal(text, &o) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if q.Header.Get("Expect-Instance") != r.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isDown || !r.born.Equal(born) {
+		return
+	}
+	r.settle()
+	status, answer := http.StatusOK, map[string]any{}
+	switch {
+	case o.FencingToken < r.token:
+		status, answer["reason"] = http.StatusConflict, "fence"
+	case q.URL.Path == "/bronzedrift/run-start":
+		r.token = o.FencingToken
+		if reason := r.start(&o); reason != "" {
+			status, answer["reason"] = http.StatusConflict, reason
+		}
+	case q.URL.Path == "/bronzedrift/run-stop":
+		r.token = o.FencingToken
+		r.stop(&o)
+	default:
+		r.token = o.FencingToken
+		r.hold(q.Context(), &o)
+		if r.isDown || !r.born.Equal(born) {
+			return
+		}
+		running := [][]any{}
+		for _, t := range r.runs {
+			running = append(running, []any{t.task, t.number, "", 50, 0})
+		}
+		answer["running"], answer["ended"] = running, append([][]any{}, r.ends[:min(len(r.ends), 500)]...)
+		answer["born"] = r.born.UnixMilli()
+	}
+	answer["clockMs"] = r.clock().Milliseconds()
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(answer)
+}
+
+func (r *runner) extend(untilMs int64) {
+	until := min(time.Duration(untilMs)*time.Millisecond, r.clock()+maxLease)
+	r.leaseEnd = max(r.leaseEnd, until)
+}
+
+func (r *runner) start(o *runOrder) string {
+	var cpu, work int64
+	if _, err := fmt.Sscanf(o.Spec, "%d %d", &cpu, &work); err != nil {
+		return "spec"
+	}
+	used := cpu
+	for _, t := range r.runs {
+		used += t.cpu
+	}
+	current := r.runs[o.Task]
+	switch {
+	case current != nil && current.number == o.Run:
+		return ""
+	case current != nil || o.Run <= r.highest[o.Task]:
+		r.extend(o.UntilMs)
+		return "old"
+	case time.Duration(o.UntilMs)*time.Millisecond < r.clock():
+		return "late"
+	case used > r.cpu:
+		r.extend(o.UntilMs)
+		return "room"
+	}
+	r.extend(o.UntilMs)
+	r.highest[o.Task] = o.Run
+	t := &taskRun{task: o.Task, number: o.Run, cpu: cpu, endsAt: time.Now().Add(time.Duration(work) * time.Millisecond), how: "done"}
+	r.runs[o.Task] = t
+	r.world.record.add(r.id, "run starts: %s run %d token %d", o.Task, o.Run, o.FencingToken)
+	if r.world.onStart != nil {
+		r.world.onStart(r, t)
+	}
+	return ""
+}
+
+func (r *runner) stop(o *runOrder) {
+	r.highest[o.Task] = max(r.highest[o.Task], o.Run)
+	if t := r.runs[o.Task]; t != nil && t.number == o.Run {
+		if limit := time.Now().Add(stopTime / 2); limit.Before(t.endsAt) {
+			t.endsAt, t.how = limit, "stopped"
+		}
+	}
+}
+
+// hold takes note of ends, renews the lease and waits for an end. The lock is held but for the wait.
+func (r *runner) hold(ctx context.Context, o *runOrder) {
+	for len(r.ends) > 0 && r.ends[0][0].(int) <= o.LastSeen {
+		r.ends = r.ends[1:]
+	}
+	if o.UntilMs > 0 {
+		r.extend(o.UntilMs)
+	}
+	timer := time.NewTimer(time.Duration(o.WaitMs) * time.Millisecond)
+	defer timer.Stop()
+	for len(r.ends) == 0 && !r.isDown {
+		changed := r.changed
+		r.mu.Unlock()
+		select {
+		case <-changed:
+			r.mu.Lock()
+			continue
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		r.mu.Lock()
+		return
+	}
+}
+
+// report sends a status report each heartbeat, to the address that the last answer named.
+func (r *runner) report(ctx context.Context) {
+	for ctx.Err() == nil {
+		text, err := r.status()
+		if err != nil {
+			return
+		}
+		r.sendReport(ctx, http.MethodPut, text)
+		select {
+		case <-ctx.Done():
+		case <-time.After(heartbeatMs * time.Millisecond):
+		}
+	}
+}
+
+// sendReport calls one daemon after the other until one acknowledges.
+func (r *runner) sendReport(ctx context.Context, method string, text []byte) bool {
+	var targets []netip.AddrPort
+	if r.reportTo.IsValid() {
+		targets = append(targets, r.reportTo)
+	}
+	for _, i := range rand.Perm(len(r.world.states)) {
+		targets = append(targets, r.world.states[i].control())
+	}
+	for _, t := range targets {
+		if ctx.Err() != nil {
+			return false
+		}
+		status, answer, err := call(ctx, method, "http://"+t.String()+"/bronzedrift/instances/"+r.id, text, "", time.Second)
+		if err != nil || status/100 != 2 || method == http.MethodDelete || string(text) != "" && r.state == "draining" {
+			r.world.record.add(r.id, "%s to %s: %s", method, t, outcome(status, answer, err))
+		}
+		if err != nil || status/100 != 2 {
+			r.reportTo = netip.AddrPort{}
+			continue
+		}
+		var named struct{ HeartbeatAddr string }
+		if json.Unmarshal(answer, &named) == nil {
+			if a, err := netip.ParseAddrPort(named.HeartbeatAddr); err == nil {
+				r.reportTo = a
+			}
+		}
+		return true
+	}
+	return false
+}
+
+// call sends one HTTP request on a connection of its own.
+func call(ctx context.Context, method, url string, body []byte, host string, timeout time.Duration) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	q.GetBody = nil
+	if host != "" {
+		q.Host = host
+	}
+	q.Close = true
+	q.Header.Set("Content-Type", "application/json")
+	q.Header.Set("Deadline-Ms", fmt.Sprint(timeout.Milliseconds()))
+	answer, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(answer.Body)
+	return answer.StatusCode, text, err
+}
