--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -221,3 +222,38 @@
 	overlap.check()
 	return nil
 }
+
+// coreCut cuts one frontend machine after the other off from the core while jobs that it has taken are
+// at work.
+func coreCut(w *world) error {
+	const (
+		entriesPerZone = 3
+		runnersPerZone = 4
+		cutTime        = 3 * time.Second
+		jobs           = 8
+		cpu            = 6000
+		workMs         = 4000
+		budget         = 15 * time.Second
+	)
+	if err := w.start(4, entriesPerZone, runnersPerZone, 16000); err != nil {
+		return err
+	}
+	overlap := newOverlap(w, 100*time.Millisecond)
+	for _, n := range w.entries {
+		var clients sync.WaitGroup
+		for range jobs {
+			clients.Go(func() { w.submit(n, newID(), jobText(cpu, workMs, stepText(1, cpu, workMs, "")), budget) })
+		}
+		time.Sleep(time.Duration(200+rand.IntN(100)) * time.Millisecond)
+		if w.trouble {
+			w.network.leaveCore(n.name, true)
+			w.record.add("network", "%s is cut off from the core", n.name)
+		}
+		time.Sleep(cutTime)
+		w.network.leaveCore(n.name, false)
+		w.record.add("network", "%s reaches the core", n.name)
+		clients.Wait()
+	}
+	overlap.check()
+	return nil
+}
