--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -18,7 +17,7 @@
 // job that another frontend machine of its zone has handed in.
 func lostCancel(w *world) error {
 	w.runnerZones = zones[1:]
-	if err := w.start(4, 2, 3, 16000); err != nil {
+	if err := w.start(2, 3); err != nil {
 		return err
 	}
 	const cutTime = 5 * time.Second
@@ -46,7 +45,7 @@
 	var clients sync.WaitGroup
 	clients.Go(func() {
 		const workMs = 2300
-		job := jobText(2000, workMs, stepText(1, 2000, workMs, ""), stepText(1, 2000, workMs, `,"after":[0]`), stepText(1, 2000, workMs, `,"after":[1]`))
+		job := jobText(2000, workMs, stepText(2000, workMs, ""), stepText(2000, workMs, `,"after":[0]`), stepText(2000, workMs, `,"after":[1]`))
 		w.submit(first, id, job, 15*time.Second)
 	})
 	time.Sleep(700 * time.Millisecond)
@@ -65,7 +64,7 @@
 // response to the announcement is lost, so that the runner sends it again, to the next daemon, before
 // it ends.
 func lostLeave(w *world) error {
-	if err := w.start(4, 1, 2, 16000); err != nil {
+	if err := w.start(1, 2); err != nil {
 		return err
 	}
 	const (
@@ -76,7 +75,7 @@
 	overlap := newOverlap(w, toleratedOverlap)
 	var clients sync.WaitGroup
 	clients.Go(func() {
-		w.submit(w.entries[0], newID(), jobText(2000, workMs, stepText(1, 2000, workMs, "")), 30*time.Second)
+		w.submit(w.entries[0], newID(), jobText(2000, workMs, stepText(2000, workMs, "")), 30*time.Second)
 	})
 	time.Sleep(time.Second)
 	leaving := overlap.runnerAtWork()
@@ -96,10 +95,10 @@
 // rebornKind lets the only runner of a kind crash and start again under its id as one of another
 // kind, while the daemon that it reports to first is frozen.
 func rebornKind(w *world) error {
-	if err := w.start(4, 1, 2, 16000); err != nil {
+	if err := w.start(1, 2); err != nil {
 		return err
 	}
-	special, err := w.addRunner(zones[1], 16000, []string{"b"})
+	special, err := w.addRunner(zones[1], []string{"b"})
 	if err != nil {
 		return err
 	}
@@ -119,7 +118,7 @@
 					return
 				case <-time.After(50 * time.Millisecond):
 				}
-				w.submit(w.entries[i%len(w.entries)], newID(), jobText(2000, 100, stepText(1, 2000, 100, `,"requirements":"b"`)), 1500*time.Millisecond)
+				w.submit(w.entries[i%len(w.entries)], newID(), jobText(2000, 100, stepText(2000, 100, `,"requirements":"b"`)), 1500*time.Millisecond)
 			}
 		})
 	}
@@ -152,12 +151,12 @@
 // acknowledges. The first announcement arrives when the cut ends: the runner is at work again by then,
 // under the same id.
 func lateLeave(w *world) error {
-	if err := w.start(4, 1, 2, 16000); err != nil {
+	if err := w.start(1, 2); err != nil {
 		return err
 	}
 	special := make([]*runner, 2)
 	for i := range special {
-		r, err := w.addRunner(zones[1], 16000, []string{"b"})
+		r, err := w.addRunner(zones[1], []string{"b"})
 		if err != nil {
 			return err
 		}
@@ -182,7 +181,7 @@
 					return
 				case <-time.After(100 * time.Millisecond):
 				}
-				job := jobText(cpu, workMs, stepText(1, cpu, workMs, `,"requirements":"b"`))
+				job := jobText(cpu, workMs, stepText(cpu, workMs, `,"requirements":"b"`))
 				w.submit(w.entries[i%len(w.entries)], newID(), job, 8*time.Second)
 			}
 		})
@@ -222,38 +221,3 @@
 	overlap.check()
 	return nil
 }
-
-// coreCut cuts one frontend machine after the other off from the core while jobs that it has taken are
-// at work.
-func coreCut(w *world) error {
-	const (
-		entriesPerZone = 3
-		runnersPerZone = 4
-		cutTime        = 3 * time.Second
-		jobs           = 8
-		cpu            = 6000
-		workMs         = 4000
-		budget         = 15 * time.Second
-	)
-	if err := w.start(4, entriesPerZone, runnersPerZone, 16000); err != nil {
-		return err
-	}
-	overlap := newOverlap(w, 100*time.Millisecond)
-	for _, n := range w.entries {
-		var clients sync.WaitGroup
-		for range jobs {
-			clients.Go(func() { w.submit(n, newID(), jobText(cpu, workMs, stepText(1, cpu, workMs, "")), budget) })
-		}
-		time.Sleep(time.Duration(200+rand.IntN(100)) * time.Millisecond)
-		if w.trouble {
-			w.network.leaveCore(n.name, true)
-			w.record.add("network", "%s is cut off from the core", n.name)
-		}
-		time.Sleep(cutTime)
-		w.network.leaveCore(n.name, false)
-		w.record.add("network", "%s reaches the core", n.name)
-		clients.Wait()
-	}
-	overlap.check()
-	return nil
-}
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -50,22 +50,6 @@
 	return false
 }
 
-// readConfiguration asks one daemon after the other for the configuration for a time, and returns
-// the text of the first answer.
-func (w *world) readConfiguration(limit time.Duration) (string, bool) {
-	end := time.Now().Add(limit)
-	for i := 0; time.Now().Before(end); i++ {
-		target := w.states[i%len(w.states)]
-		status, answer, err := call(w.ctx, http.MethodGet, "http://"+target.control().String()+"/bronzedrift/config", nil, "", time.Second)
-		w.record.add("operator", "GET config from %s: %s", target.name, outcome(status, answer, err))
-		if err == nil && status == http.StatusOK {
-			return string(answer), true
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-	return "", false
-}
-
 func outcome(status int, answer []byte, err error) string {
 	if err != nil {
 		return "no response: " + strings.ReplaceAll(err.Error(), "\n", " ")
@@ -73,21 +57,21 @@
 	return fmt.Sprintf("%d %.90s", status, answer)
 }
 
-// submit sends a job and returns the status of the answer, 0 without one.
-func (w *world) submit(n *node, id, body string, deadline time.Duration) (int, string) {
+// submit sends a job and waits for its answer.
+func (w *world) submit(n *node, id, body string, deadline time.Duration) {
 	w.record.add("client", "POST %s to %s: %s", id, n.name, body)
 	status, answer, err := call(w.ctx, http.MethodPost, "http://"+n.frontend().String()+routePrefix+id, []byte(body), hostName, deadline)
 	w.record.add("client", "POST %s to %s: %s", id, n.name, outcome(status, answer, err))
-	return status, string(answer)
 }
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
-// step is one step of a job.
-func stepText(count int, cpu, estimateMs int64, more string) string {
-	return fmt.Sprintf(`{"count":%d,"cpu":%d,"memMb":64,"estimateMs":%d%s}`, count, cpu, estimateMs, more)
+// stepText is one step of a job, with a single task.
+func stepText(cpu, estimateMs int64, more string) string {
+	return fmt.Sprintf(`{"count":1,"cpu":%d,"memMb":64,"estimateMs":%d%s}`, cpu, estimateMs, more)
 }
 
+// jobText is the body of a job. Its spec names the cpu and the run time of each of its tasks.
 func jobText(cpu, workMs int64, steps ...string) string {
 	return fmt.Sprintf(`{"spec":"%d %d","bestEffort":true,"steps":[%s]}`, cpu, workMs, strings.Join(steps, ","))
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -29,7 +29,6 @@
 	"lost-leave":  lostLeave,
 	"reborn-kind": rebornKind,
 	"late-leave":  lateLeave,
-	"core-cut":    coreCut,
 }
 
 func main() {
--- a/review/stand/network.go
+++ b/review/stand/network.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"time"
 )
@@ -18,14 +17,11 @@
 type network struct {
 	world *world
 	mu    sync.Mutex
-	// isolated are the names of the processes that are cut off from all others, and coreless those
-	// that are cut off from the core.
-	isolated, coreless map[string]bool
+	// isolated are the names of the processes that are cut off from all others.
+	isolated map[string]bool
 }
 
-func newNetwork(w *world) *network {
-	return &network{world: w, isolated: map[string]bool{}, coreless: map[string]bool{}}
-}
+func newNetwork(w *world) *network { return &network{world: w, isolated: map[string]bool{}} }
 
 // isolate cuts a process off from all other processes, or joins it again.
 func (n *network) isolate(name string, isCut bool) {
@@ -34,18 +30,10 @@
 	n.isolated[name] = isCut
 }
 
-// leaveCore cuts a process off from the core, or joins it again.
-func (n *network) leaveCore(name string, isCut bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.coreless[name] = isCut
-}
-
 func (n *network) isCut(a, b string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	isCore := func(name string) bool { return strings.HasPrefix(name, "core-") }
-	return n.isolated[a] || n.isolated[b] || n.coreless[a] && isCore(b) || n.coreless[b] && isCore(a)
+	return n.isolated[a] || n.isolated[b]
 }
 
 // front listens at the inner address of a process and passes on what comes.
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -57,10 +57,10 @@
 // firstClock is what the clock of a runner shows at its start.
 const firstClock = 500 * time.Millisecond
 
-func (w *world) addRunner(zone string, cpu int64, labels []string) (*runner, error) {
+func (w *world) addRunner(zone string, labels []string) (*runner, error) {
 	id := fmt.Sprintf("i-%08x", rand.Uint32())
 	r := &runner{
-		world: w, id: id, zone: zone, cpu: cpu, labels: append(append([]string{}, labels...), "r"+zone+"-1"),
+		world: w, id: id, zone: zone, cpu: runnerCPU, labels: append(append([]string{}, labels...), "r"+zone+"-1"),
 		address: netip.AddrPortFrom(w.nextIP(id), runnerPort),
 	}
 	w.runners = append(w.runners, r)
