--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -221,3 +221,48 @@
 	overlap.check()
 	return nil
 }
+
+// lateStart lets a start order go unanswered. The runner is then cut off, crashes behind the cut and
+// starts again under its id. The order is carried out there, seconds late, while the task is at work
+// elsewhere.
+func lateStart(w *world) error {
+	if err := w.start(1, 2); err != nil {
+		return err
+	}
+	const (
+		workMs    = 8000
+		cpu       = 10000
+		cutTime   = 5 * time.Second
+		lateTime  = 3 * time.Second
+		tolerance = 100 * time.Millisecond
+	)
+	overlap := newOverlap(w, tolerance)
+	var clients sync.WaitGroup
+	w.keepsStart.Store(w.trouble)
+	clients.Go(func() {
+		w.submit(w.entries[0], newID(), jobText(cpu, workMs, stepText(cpu, workMs, "")), 20*time.Second)
+	})
+	time.Sleep(300 * time.Millisecond)
+	if w.trouble {
+		w.keepsStart.Store(false)
+		var late *runner
+		for _, r := range w.runners {
+			if r.hasLateStart() {
+				late = r
+			}
+		}
+		if late == nil {
+			return fmt.Errorf("%w: no start order came", errNotRun)
+		}
+		late.cut(true)
+		time.Sleep(cutTime / 5)
+		late.rebornBehindCut()
+		time.Sleep(lateTime - cutTime/5 - 300*time.Millisecond)
+		late.carryOutLateStart()
+		time.Sleep(cutTime - lateTime)
+		late.cut(false)
+	}
+	clients.Wait()
+	overlap.check()
+	return nil
+}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -26,6 +26,7 @@
 
 var cases = map[string]func(w *world) error{
 	"lost-cancel": lostCancel,
+	"late-start":  lateStart,
 	"lost-leave":  lostLeave,
 	"reborn-kind": rebornKind,
 	"late-leave":  lateLeave,
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -41,6 +41,10 @@
 	server    *http.Server
 	stopBeats context.CancelFunc
 	reportTo  netip.AddrPort
+	// isCut is set while no machine reaches the runner, nor it any machine.
+	isCut bool
+	// lateStart is a start order that was left unanswered and is carried out late.
+	lateStart *runOrder
 	// firstReport is the daemon that the runner calls first after its start, if it is valid.
 	firstReport netip.AddrPort
 }
@@ -75,25 +79,83 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.born, r.sequence, r.token, r.leaseEnd, r.lastEnd = time.Now(), 0, 0, 0, 0
-	r.runs, r.highest, r.ends, r.changed = map[string]*taskRun{}, map[string]int{}, nil, make(chan struct{})
-	r.state, r.isDown = "ready", false
-	born := r.born
-	r.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { r.serve(w, q, born) })}
+	r.forget()
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
 	server := r.server
 	go func() { _ = server.Serve(listener) }()
 	ctx, cancel := context.WithCancel(r.world.ctx)
 	r.stopBeats = cancel
 	go r.report(ctx)
 	go r.expire(ctx)
-	r.world.record.add(r.id, "runner boots in %s at %s, cpu %d, labels %v, born %d", r.zone, r.address, r.cpu, r.labels, born.UnixMilli())
+	r.world.record.add(r.id, "runner boots in %s at %s, cpu %d, labels %v, born %d", r.zone, r.address, r.cpu, r.labels, r.born.UnixMilli())
 	return nil
 }
 
+// forget starts a life that holds and knows nothing of before. The lock is held.
+func (r *runner) forget() {
+	r.born, r.sequence, r.token, r.leaseEnd, r.lastEnd = time.Now(), 0, 0, 0, 0
+	r.runs, r.highest, r.ends, r.changed = map[string]*taskRun{}, map[string]int{}, nil, make(chan struct{})
+	r.state, r.isDown = "ready", false
+}
+
+// cut cuts the runner off from all machines, or joins it again.
+func (r *runner) cut(isCut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isCut = isCut
+	r.world.record.add(r.id, "runner is cut off: %t", isCut)
+}
+
+// rebornBehindCut lets the runner crash and start again under its id while it is cut off: nobody sees
+// its connections end.
+func (r *runner) rebornBehindCut() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.loseRuns()
+	r.forget()
+	r.world.record.add(r.id, "runner has crashed and starts again behind the cut, born %d", r.born.UnixMilli())
+}
+
+func (r *runner) hasLateStart() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lateStart != nil
+}
+
+// carryOutLateStart carries out the start order that was kept.
+func (r *runner) carryOutLateStart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := r.lateStart
+	if o == nil {
+		return
+	}
+	r.lateStart = nil
+	r.settle()
+	if o.FencingToken < r.token {
+		r.world.record.add(r.id, "late start order of %s run %d: fence", o.Task, o.Run)
+		return
+	}
+	r.token = o.FencingToken
+	reason := r.start(o)
+	r.world.record.add(r.id, "late start order of %s run %d, refused for: %q", o.Task, o.Run, reason)
+}
+
 // crash ends the process of the runner: everything that runs there ends, nothing is sent.
 func (r *runner) crash() {
 	r.mu.Lock()
 	r.isDown = true
+	r.loseRuns()
+	r.stopBeats()
+	server := r.server
+	r.reportTo = r.firstReport
+	r.mu.Unlock()
+	_ = server.Close()
+	r.world.record.add(r.id, "runner is gone")
+}
+
+// loseRuns ends all runs with their runner, without listing them. The lock is held.
+func (r *runner) loseRuns() {
 	for name, t := range r.runs {
 		r.world.record.add(r.id, "run ends: %s run %d with its runner", name, t.number)
 		if r.world.onEnd != nil {
@@ -101,12 +163,6 @@
 		}
 	}
 	r.runs = map[string]*taskRun{}
-	r.stopBeats()
-	server := r.server
-	r.reportTo = r.firstReport
-	r.mu.Unlock()
-	_ = server.Close()
-	r.world.record.add(r.id, "runner is gone")
 }
 
 // drain reports that the runner drains and tells whether that was acknowledged.
@@ -209,7 +265,7 @@
 	WaitMs       int64  `json:"waitMs"`
 }
 
-func (r *runner) serve(w http.ResponseWriter, q *http.Request, born time.Time) {
+func (r *runner) serve(w http.ResponseWriter, q *http.Request) {
 	if q.Method == http.MethodGet {
 		w.WriteHeader(http.StatusOK)
 		return
@@ -226,10 +282,18 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.isDown || !r.born.Equal(born) {
+	if r.isDown || r.isCut {
+		r.stayMute(q.Context())
 		return
 	}
+	born := r.born
 	r.settle()
+	if q.URL.Path == "/bronzedrift/run-start" && r.world.keepsStart.CompareAndSwap(true, false) {
+		r.lateStart = &o
+		r.world.record.add(r.id, "start order of %s run %d is under way, without an answer", o.Task, o.Run)
+		r.stayMute(q.Context())
+		return
+	}
 	status, answer := http.StatusOK, map[string]any{}
 	switch {
 	case o.FencingToken < r.token:
@@ -245,7 +309,8 @@
 	default:
 		r.token = o.FencingToken
 		r.hold(q.Context(), &o)
-		if r.isDown || !r.born.Equal(born) {
+		if r.isDown || r.isCut || !r.born.Equal(born) {
+			r.stayMute(q.Context())
 			return
 		}
 		running := [][]any{}
@@ -261,6 +326,13 @@
 	_ = json.NewEncoder(w).Encode(answer)
 }
 
+// stayMute waits until the caller gives up. The lock is held before and after.
+func (r *runner) stayMute(ctx context.Context) {
+	r.mu.Unlock()
+	<-ctx.Done()
+	r.mu.Lock()
+}
+
 func (r *runner) extend(untilMs int64) {
 	until := min(time.Duration(untilMs)*time.Millisecond, r.clock()+maxLease)
 	r.leaseEnd = max(r.leaseEnd, until)
@@ -340,7 +412,9 @@
 		if err != nil {
 			return
 		}
-		r.sendReport(ctx, http.MethodPut, text)
+		if !r.isOutOfReach() {
+			r.sendReport(ctx, http.MethodPut, text)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(heartbeatMs * time.Millisecond):
@@ -348,6 +422,12 @@
 	}
 }
 
+func (r *runner) isOutOfReach() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isCut
+}
+
 // sendReport calls one daemon after the other until one acknowledges.
 func (r *runner) sendReport(ctx context.Context, method string, text []byte) bool {
 	var targets []netip.AddrPort
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -64,6 +65,8 @@
 	lastIP  byte
 	// runnerZones are the zones that have runners.
 	runnerZones []string
+	// keepsStart makes the next start order go unanswered; its runner keeps it.
+	keepsStart atomic.Bool
 	// onStart and onEnd, if set, are told of the runs.
 	onStart func(r *runner, t *taskRun)
 	onEnd   func(r *runner, t *taskRun, how string)
