--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -8,6 +8,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -47,10 +49,16 @@
 		return exitNotRun
 	}
 	defer w.close()
+	// A reader of the output that has gone must not end this process before those that it started.
+	signal.Ignore(syscall.SIGPIPE)
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	ended := make(chan error, 1)
 	go func() { ended <- cases[name](w) }()
 	select {
 	case err = <-ended:
+	case s := <-stopped:
+		err = fmt.Errorf("%w: %s", errNotRun, s)
 	case <-time.After(maxRunTime):
 		err = fmt.Errorf("%w: no end after %s", errNotRun, maxRunTime)
 	}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -80,7 +81,7 @@
 	ip         netip.Addr
 	folder     string
 	command    *exec.Cmd
-	log        *os.File
+	ended      chan struct{}
 }
 
 func newWorld(recordPath string, trouble bool) (*world, error) {
@@ -108,8 +109,8 @@
 	for _, n := range append(append([]*node{}, w.states...), w.entries...) {
 		n.signal(syscall.SIGCONT)
 		n.signal(syscall.SIGKILL)
-		if n.command != nil {
-			_ = n.command.Wait()
+		if n.ended != nil {
+			<-n.ended
 		}
 	}
 	if os.Getenv("KEEP") == "" {
@@ -182,11 +183,25 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", errNotRun, err)
 	}
-	n.log = log
+	defer func() { _ = log.Close() }()
 	n.command = exec.Command(nodeProgram, args...)
 	n.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + n.folder, settingsEnvVar + "=" + n.settingsPath()}
 	n.command.Stdout, n.command.Stderr = log, log
-	if err := n.command.Start(); err != nil {
+	// The process ends with this one, however that ends.
+	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started, ended := make(chan error, 1), make(chan struct{})
+	go func() {
+		defer close(ended)
+		// Pdeathsig acts when the thread that started the process ends.
+		runtime.LockOSThread()
+		err := n.command.Start()
+		started <- err
+		if err == nil {
+			_ = n.command.Wait()
+		}
+	}()
+	n.ended = ended
+	if err := <-started; err != nil {
 		return fmt.Errorf("%w: %w", errNotRun, err)
 	}
 	w.record.add(n.name, "started in %s at %s", n.zone, n.ip)
