--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -12,7 +12,7 @@
 )
 
 func isReady(n *node) bool {
-	q, err := http.NewRequest(http.MethodGet, "http://"+netip.AddrPortFrom(n.ip, readinessPort).String()+"/bronzedrift/ready", nil)
+	q, err := http.NewRequest(http.MethodGet, "http://"+netip.AddrPortFrom(n.ip, readinessPort).String()+platformNames["ready"], nil)
 	if err != nil {
 		return false
 	}
@@ -26,11 +26,7 @@
 
 // configuration returns a valid configuration with one route.
 func configuration(version int) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r-wrr6x73","host":%q,"pathPrefix":%q,"kind":"non_idempotent","timeoutMs":1500,`+
-		`"targetLatencyMs":60,"priority":0,"service":%q,"maxAttempts":4,"stretch":1.6}],`+
-		`"services":[{"name":%q,"healthPath":"/health","maxConns":64,"protocol":"h1","tls":false,"enforcesCapacity":true,"standby":false}],`+
-		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`,
-		version, hostName, routePrefix, serviceName, serviceName)
+	return fmt.Sprintf(platformNames["configuration"], version, hostName, routePrefix, serviceName, serviceName)
 }
 
 // sendConfiguration sends a configuration as the operator does: to one daemon after the other, with
@@ -39,7 +35,7 @@
 	end, pause := time.Now().Add(limit), 50*time.Millisecond
 	for i := rand.IntN(len(w.states)); time.Now().Before(end); i++ {
 		target := w.states[i%len(w.states)]
-		status, answer, err := call(w.ctx, http.MethodPut, "http://"+target.control().String()+"/bronzedrift/config", []byte(text), "", time.Second)
+		status, answer, err := call(w.ctx, http.MethodPut, "http://"+target.control().String()+platformNames["config"], []byte(text), "", time.Second)
 		w.record.add("operator", "PUT config %.14s to %s: %s", text, target.name, outcome(status, answer, err))
 		if err == nil && status == http.StatusOK {
 			return true
@@ -73,5 +69,5 @@
 
 // jobText is the body of a job. Its spec names the cpu and the run time of each of its tasks.
 func jobText(cpu, workMs int64, steps ...string) string {
-	return fmt.Sprintf(`{"spec":"%d %d","bestEffort":true,"steps":[%s]}`, cpu, workMs, strings.Join(steps, ","))
+	return fmt.Sprintf(platformNames["job"], cpu, workMs, strings.Join(steps, ","))
 }
--- a/review/stand/network.go
+++ b/review/stand/network.go
@@ -175,7 +175,7 @@
 
 // send sends one call of the runner on the channel and tells whether it was acknowledged in time.
 func (c *channel) send(method, id string, text []byte) bool {
-	q, err := http.NewRequest(method, c.url+"/bronzedrift/instances/"+id, bytes.NewReader(text))
+	q, err := http.NewRequest(method, c.url+platformNames["instances"]+id, bytes.NewReader(text))
 	if err != nil {
 		return false
 	}
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -185,7 +185,7 @@
 		if !target.IsValid() {
 			target = r.world.states[0].control()
 		}
-		status, answer, err := call(r.world.ctx, http.MethodDelete, "http://"+target.String()+"/bronzedrift/instances/"+r.id, nil, "", time.Second)
+		status, answer, err := call(r.world.ctx, http.MethodDelete, "http://"+target.String()+platformNames["instances"]+r.id, nil, "", time.Second)
 		r.world.record.add(r.id, "DELETE to %s: %s; the response is lost", target, outcome(status, answer, err))
 		time.Sleep(time.Second)
 		r.reportTo = netip.AddrPort{}
@@ -208,7 +208,7 @@
 	r.sequence++
 	body := map[string]any{
 		"service": serviceName, "address": r.address.String(), "zone": r.zone, "version": "v1", "slots": 8, "state": r.state,
-		"coldRemainingMs": 0, "capacity": map[string]int64{"cpu": r.cpu, "memMb": 32768, "gpu": 0}, "labels": r.labels,
+		platformNames["cold"]: 0, "capacity": map[string]int64{"cpu": r.cpu, "memMb": 32768, "gpu": 0}, "labels": r.labels,
 		"clockMs": r.clock().Milliseconds(), "sequence": r.sequence, "born": r.born.UnixMilli(),
 	}
 	if r.state == "draining" {
@@ -254,15 +254,15 @@
 	}
 }
 
-// runOrder is the body of a call to a runner.
+// runOrder is the body of a call to a runner. Its keys differ from the fields in case only.
 type runOrder struct {
-	Task         string `json:"task"`
-	Run          int    `json:"run"`
-	Spec         string `json:"spec"`
-	UntilMs      int64  `json:"untilMs"`
-	FencingToken uint64 `json:"fencingToken"`
-	LastSeen     int    `json:"lastSeen"`
-	WaitMs       int64  `json:"waitMs"`
+	Task         string
+	Run          int
+	Spec         string
+	UntilMs      int64
+	FencingToken uint64
+	LastSeen     int
+	WaitMs       int64
 }
 
 func (r *runner) serve(w http.ResponseWriter, q *http.Request) {
@@ -276,7 +276,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if q.Header.Get("Expect-Instance") != r.id {
+	if q.Header.Get(platformNames["expected-runner"]) != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -288,7 +288,7 @@
 	}
 	born := r.born
 	r.settle()
-	if q.URL.Path == "/bronzedrift/run-start" && r.world.keepsStart.CompareAndSwap(true, false) {
+	if q.URL.Path == platformNames["run-start"] && r.world.keepsStart.CompareAndSwap(true, false) {
 		r.lateStart = &o
 		r.world.record.add(r.id, "start order of %s run %d is under way, without an answer", o.Task, o.Run)
 		r.stayMute(q.Context())
@@ -298,12 +298,12 @@
 	switch {
 	case o.FencingToken < r.token:
 		status, answer["reason"] = http.StatusConflict, "fence"
-	case q.URL.Path == "/bronzedrift/run-start":
+	case q.URL.Path == platformNames["run-start"]:
 		r.token = o.FencingToken
 		if reason := r.start(&o); reason != "" {
 			status, answer["reason"] = http.StatusConflict, reason
 		}
-	case q.URL.Path == "/bronzedrift/run-stop":
+	case q.URL.Path == platformNames["run-stop"]:
 		r.token = o.FencingToken
 		r.stop(&o)
 	default:
@@ -333,8 +333,8 @@
 	r.mu.Lock()
 }
 
-func (r *runner) extend(untilMs int64) {
-	until := min(time.Duration(untilMs)*time.Millisecond, r.clock()+maxLease)
+func (r *runner) extend(leaseMillis int64) {
+	until := min(time.Duration(leaseMillis)*time.Millisecond, r.clock()+maxLease)
 	r.leaseEnd = max(r.leaseEnd, until)
 }
 
@@ -441,7 +441,7 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		status, answer, err := call(ctx, method, "http://"+t.String()+"/bronzedrift/instances/"+r.id, text, "", time.Second)
+		status, answer, err := call(ctx, method, "http://"+t.String()+platformNames["instances"]+r.id, text, "", time.Second)
 		if err != nil || status/100 != 2 || method == http.MethodDelete || string(text) != "" && r.state == "draining" {
 			r.world.record.add(r.id, "%s to %s: %s", method, t, outcome(status, answer, err))
 		}
@@ -474,7 +474,7 @@
 	}
 	q.Close = true
 	q.Header.Set("Content-Type", "application/json")
-	q.Header.Set("Deadline-Ms", fmt.Sprint(timeout.Milliseconds()))
+	q.Header.Set(platformNames["deadline"], fmt.Sprint(timeout.Milliseconds()))
 	answer, err := http.DefaultClient.Do(q)
 	if err != nil {
 		return 0, nil, err
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -19,33 +19,32 @@
 
 // Figures of the small deployment kinumori-fit, as the platform gives them to a process.
 const (
-	heartbeatMs    = 1500
-	contactTime    = 3 * time.Second
-	ackTimeout     = 4 * time.Second
-	cancelTime     = 3 * time.Second
-	drainTime      = 2 * time.Second
-	addressReuse   = 2 * time.Second
-	stopTime       = 50 * time.Millisecond
-	maxLease       = time.Second
-	resendAfter    = 1300 * time.Millisecond
-	recoveryTime   = 12 * time.Second
-	settleTime     = 10 * time.Second
-	frontendPort   = 8161
-	readinessPort  = 8167
-	controlPort    = 8166
-	innerPort      = 7720
-	innerLastPort  = 7735
-	innerRealPort  = 7721
-	runnerPort     = 8080
-	runnerCPU      = 16000
-	serviceName    = "fitting-desk"
-	hostName       = "nony24.example"
-	routePrefix    = "/lohu930/"
-	entryCommand   = "entry"
-	stateCommand   = "state"
-	nodeProgram    = "target/bronzedrift-node"
-	loadBalancing  = "--balance-load"
-	settingsEnvVar = "BRONZEDRIFT_BOOT"
+	heartbeatMs   = 1500
+	contactTime   = 3 * time.Second
+	ackTimeout    = 4 * time.Second
+	cancelTime    = 3 * time.Second
+	drainTime     = 2 * time.Second
+	addressReuse  = 2 * time.Second
+	stopTime      = 50 * time.Millisecond
+	maxLease      = time.Second
+	resendAfter   = 1300 * time.Millisecond
+	recoveryTime  = 12 * time.Second
+	settleTime    = 10 * time.Second
+	frontendPort  = 8161
+	readinessPort = 8167
+	controlPort   = 8166
+	innerPort     = 7720
+	innerLastPort = 7735
+	innerRealPort = 7721
+	runnerPort    = 8080
+	runnerCPU     = 16000
+	serviceName   = "fitting-desk"
+	hostName      = "nony24.example"
+	routePrefix   = "/lohu930/"
+	entryCommand  = "entry"
+	stateCommand  = "state"
+	nodeProgram   = "target/bronzedrift-node"
+	loadBalancing = "--balance-load"
 )
 
 var zones = []string{"jt-a", "jt-b", "jt-c", "jt-d"}
@@ -185,7 +184,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	n.command = exec.Command(nodeProgram, args...)
-	n.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + n.folder, settingsEnvVar + "=" + n.settingsPath()}
+	n.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + n.folder, platformNames["settings-path"] + "=" + n.settingsPath()}
 	n.command.Stdout, n.command.Stderr = log, log
 	// The process ends with this one, however that ends.
 	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -249,12 +248,12 @@
 	}
 	for k, v := range map[string]any{
 		"nodeName": n.name, "role": role, "machineClass": class, "serves": []string{class}, "ip": n.ip.String(), "zone": n.zone,
-		"region": "jawa-tengah", "zones": zoneRegions, "listen": listen, "internalPorts": []int{innerPort, innerLastPort},
+		"region": "jawa-tengah", "zones": zoneRegions, "listen": listen, platformNames["internal-ports"]: []int{innerPort, innerLastPort},
 		"inner-listen": netip.AddrPortFrom(n.ip, innerRealPort).String(), "seeds": seeds, "bootstrap": isBootstrap, "inTolerance": false,
 		"limits":    map[string]any{"cpuShare": cpuShare, "cores": 1, "memoryMb": memory, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 128},
 		"discovery": "registry", "entry": "vip", "heartbeatMs": heartbeatMs,
-		"contracts":      []string{"base", "drain", "config", "cost", "recover", "sched"},
-		"faultTolerance": map[string]int{"machines": 1, "zones": 1, "regions": 0},
+		"contracts":                []string{"base", "drain", "config", "cost", "recover", "sched"},
+		platformNames["tolerance"]: map[string]int{"machines": 1, "zones": 1, "regions": 0},
 		"bounds": map[string]any{
 			"seedLagS": 3, "addrReuseS": 2, "contactMs": 3000, "ackTimeoutMs": 4000, "catchUpS": 4, "drainMs": 2000, "graceS": 6,
 			"lossSlackMs": 200, "configApplyMs": 2000, "rollbackSlackMs": 250, "maxStretchMs": 5000, "recoveryS": 12, "holdMaxMs": 1000,
