Runs of an upstream that announces its end are stopped before their tasks move

What callers saw: a task at work on two upstreams at once (rule TWICE), for 400 ms. An upstream drains, announces its end, does not get the response and announces it again a second later; a long task runs there meanwhile.

Cause: the holder took the announcement for the end. mergeHeartbeat removed the upstream with all listed runs as soon as it was told, and their tasks were placed again in the same step, while the lease of the first run had 400 ms left. The record of the case on the former code shows the second start in the millisecond of the first DELETE, and the first run ending as lapsed 400 ms later; the holder logs upstream-gone and run-lost with the reason "left". So neither the entry nor a second holder is involved, and no lease is too long.

Change: an upstream with runs that announces its end is held on in a phase of its own, departing: nothing starts there, no lease is renewed, each run is stopped, and a task starts elsewhere once a list shows the end of its run or the leases have ended. Hold calls go on, so that a run that ended before the announcement counts instead of being done again. A restart under the same id proves the end of the listed runs, as before. A VM that does not hold the upstream keeps its runs there until their leases have ended.

Why it works: the decision rests on what ends a run (a stop that the upstream has listed, a lease), which holds whether the announcement is early, late or repeated.

The other engine never restarts a task for an announcement; TestTaskOfLeavingUpstreamGoesOn guards that and did not fail before.

--- a/internal/forwarder/fault_test.go
+++ b/internal/forwarder/fault_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"bronzedrift.example/bronzedrift/internal/holder"
 )
 
 // runTraffic submits jobs at random for a duration. Like real callers, it resubmits jobs
@@ -115,7 +117,9 @@
 		"upstreams are partitioned": func(sim *simulation) {
 			sim.schedule(3*time.Second, func() { sim.partitionUpstreams(3, 3*time.Second) })
 		},
-		"starts arrive late": func(sim *simulation) { sim.lateStartShare = 0.1 },
+		"upstreams go on after their departure": func(sim *simulation) { sim.departUpstreams(false) },
+		"departures arrive in the next life":    func(sim *simulation) { sim.departUpstreams(true) },
+		"starts arrive late":                    func(sim *simulation) { sim.lateStartShare = 0.1 },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(3) {
@@ -145,6 +149,28 @@
 	assert.Positive(t, found, "the injected fault was not detected")
 }
 
+// departUpstreams lets an upstream announce its end to one holder every 400 ms. Its process ends
+// up to a second later, or has ended and been started again before the announcement arrives.
+func (sim *simulation) departUpstreams(isLate bool) {
+	for i := range 10 {
+		u := sim.upstreams[i]
+		leave := func() {
+			h := sim.holders[i%len(sim.holders)]
+			var out holder.Effects
+			h.holder.UpstreamLeft(sim.now, u.ID, &out)
+			sim.applyHolderEffects(h, &out)
+		}
+		end := func() { u.crashFor(20*time.Millisecond, true) }
+		first, second := leave, end
+		if isLate {
+			first, second = end, leave
+		}
+		at := time.Duration(2000+400*i) * time.Millisecond
+		sim.schedule(at, first)
+		sim.schedule(at+time.Duration(100*(i+1))*time.Millisecond, second)
+	}
+}
+
 func (sim *simulation) schedule(d time.Duration, f func()) {
 	sim.pendingDeliveries = append(sim.pendingDeliveries, delivery{at: sim.now.Add(d), run: f})
 }
--- a/internal/holder/assign.go
+++ b/internal/holder/assign.go
@@ -140,7 +140,7 @@
 		}
 	}
 	if n.State == Gone {
-		h.removeUpstream(now, u, lossLeft, "the upstream has left")
+		h.handleDeparture(now, u)
 		return nil
 	}
 	return u
@@ -158,7 +158,7 @@
 	return "unknown"
 }
 
-// removeUpstream removes an upstream and all runs on it. One that has announced its
+// removeUpstream removes an upstream and all runs on it, none of which can go on. One that has announced its
 // shutdown is kept for cancelTTL, so that late heartbeats don't bring it back.
 func (h *Holder) removeUpstream(now time.Time, u *trackedUpstream, kind lossKind, reason string) {
 	h.logDecision(Decision{Event: "upstream-gone", Upstream: u.ID, Reason: reason})
@@ -177,8 +177,8 @@
 	// Without a reachable entry no job can arrive here.
 	canTake := h.isPeerReady(h.config.VM) && len(h.entries) > 0
 	for id, u := range h.upstreams {
-		if u.State == Gone {
-			if now.Sub(u.tombstoneAt) > cancelTTL {
+		if u.State == Gone && u.phase == notHeld {
+			if now.Sub(u.tombstoneAt) > cancelTTL && len(u.runs) == 0 {
 				delete(h.upstreams, id)
 			}
 			continue
@@ -392,7 +392,7 @@
 		}
 	}
 	u.speed, u.failureRate, u.failures, u.pausedUntil = 1, 0, 0, time.Time{}
-	if u.phase == active || u.phase == taking || u.phase == releasing {
+	if u.phase != notHeld {
 		u.token = h.nextToken(now, u)
 		u.phase = taking
 		u.holdPending, u.holdRetryAt = false, time.Time{}
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -94,8 +94,26 @@
 	taking
 	active
 	releasing
+	// departing: the upstream has announced its end, and its runs are stopped. No lease is renewed.
+	departing
 )
 
+func (p phase) String() string {
+	switch p {
+	case notHeld:
+		return "not held"
+	case taking:
+		return "taking"
+	case active:
+		return "active"
+	case releasing:
+		return "releasing"
+	case departing:
+		return "departing"
+	}
+	return ""
+}
+
 // clock is a lower bound of an upstream's monotonic clock.
 type clock struct {
 	base time.Duration
@@ -302,7 +320,7 @@
 }
 
 // sendHold asks for the lists of runs and ends, acknowledges ends, and renews the
-// leases unless the stop of a run is overdue.
+// leases unless the stop of a run is overdue or the upstream has announced its end.
 func (h *Holder) sendHold(now time.Time, u *trackedUpstream, wait time.Duration) {
 	c := Call{
 		Kind: HoldCall, Upstream: u.ID, Address: u.Address, Token: u.token, LastEnd: u.lastEnd,
@@ -311,7 +329,7 @@
 	if u.phase == active && (wait == 0 || h.isLosingCalls()) {
 		c.Timeout = wait + h.startAnswerTime.timeout()
 	}
-	if u.phase != taking && u.clock.isKnown() && !u.hasUnconfirmedStop(now) {
+	if u.phase != taking && u.phase != departing && u.clock.isKnown() && !u.hasUnconfirmedStop(now) {
 		c.LeaseUntil = h.extendLease(now, u)
 	}
 	u.holdPending, u.holdSentAt = true, now
@@ -327,6 +345,10 @@
 	if u.phase == notHeld && len(u.runs) == 0 {
 		return
 	}
+	if u.phase == departing && len(u.runs) == 0 {
+		h.removeUpstream(now, u, lossLeft, "the upstream has left")
+		return
+	}
 	h.tellSilence(now, u)
 	if u.loss == lossRefused && now.Sub(u.refusedAt) >= lossSettle {
 		h.judgeLoss(now, u, u.loss)
@@ -339,8 +361,12 @@
 		h.logDecision(Decision{Event: "leases-lapsed", Upstream: u.ID, IsFault: true})
 		h.pause(now, u)
 		u.keepExposures(lapsed)
+		kind := u.loss
+		if u.State == Gone {
+			kind = lossLeft
+		}
 		for _, r := range lapsed {
-			h.removeLostRun(now, u, r, u.loss)
+			h.removeLostRun(now, u, r, kind)
 		}
 	}
 	if u.phase == notHeld {
@@ -499,10 +525,11 @@
 		h.sendHold(now, u, 0)
 		return
 	}
-	r.state = unconfirmed
-	if !r.stopPending && u.phase != notHeld && u.mayStop(r) {
-		h.sendStop(now, u, r)
+	if u.phase == notHeld {
+		r.state = unconfirmed
+		return
 	}
+	h.stopRun(now, u, r)
 }
 
 // mayStop reports whether a run whose start is not answered may be stopped. Once a connection
@@ -517,13 +544,12 @@
 	return h.startAnswerTime.timeout()
 }
 
-// confirmStart records that a start has taken effect. A run that its job no longer needs
-// is stopped.
+// confirmStart records that a start has taken effect. A run that its job no longer needs, or whose
+// upstream has announced its end, is stopped.
 func (h *Holder) confirmStart(now time.Time, u *trackedUpstream, r *run) {
 	r.state, r.confirmedAt, r.hasStarted = running, now, true
-	if r.discarded && !r.stopPending {
-		r.state = unconfirmed
-		h.sendStop(now, u, r)
+	if r.discarded && !r.stopPending || u.phase == departing {
+		h.stopRun(now, u, r)
 	}
 }
 
--- a/internal/holder/loss.go
+++ b/internal/holder/loss.go
@@ -100,13 +100,7 @@
 // isOpenAfter reports whether the next incarnation of the upstream may still carry out the start
 // of a run. After a restart, that may also be an earlier start of its task that was not answered.
 func (r *run) isOpenAfter(kind lossKind, upstream string) bool {
-	switch kind {
-	case lossRestarted:
-		return !r.isListed || r.number > 1 && slices.Contains(r.task.avoid, upstream)
-	case lossLeft:
-		return !r.isListed && !r.isLocated
-	}
-	return false
+	return kind == lossRestarted && (!r.isListed || r.number > 1 && slices.Contains(r.task.avoid, upstream))
 }
 
 // evidence says what has told of a loss, and what did so first, for the log.
@@ -188,9 +182,8 @@
 }
 
 // removeLostRuns removes all runs of an upstream and requeues or finishes their jobs. It
-// is called when none of the runs can still be running. After a restart or a departure, runs stay
-// that the former incarnation has not listed: the new one may carry out their starts until it has
-// seen a later token.
+// is called when none of the runs can still be running. After a restart, runs stay that the former
+// incarnation has not listed: the new one may carry out their starts until it has seen a later token.
 func (h *Holder) removeLostRuns(now time.Time, u *trackedUpstream, kind lossKind) {
 	for _, r := range u.runs {
 		if r.isOpenAfter(kind, u.ID) {
--- a/internal/recorder/decision.go
+++ b/internal/recorder/decision.go
@@ -54,6 +54,7 @@
 	"common-loss":        875,
 	"upstream-isolated":  876,
 	"evacuation-step":    877,
+	"upstream-departing": 878,
 	"capacity-reserved":  854,
 	"start-open":         855,
 	"start-fenced":       856,
