Odd entries of upstreams on the platform are left out, and the others hold

Need: operators of systems like this one report that one entry of another writer, very deep, with a number too large or with a port out of range, made the machines that read it end again and again or stop following the list. Ports above 65,535, numbers above 64 bits and more than 10,000 levels were refused in reports already. Not refused, or worse in other sources:

- an id that is not UTF-8: it can't be sent to other VMs, so that their links end, and the file of known upstreams is no longer written
- a start time at the ends of its range or in the future: it overflows in messages and counts as a restart, so that running tasks start elsewhere
- port 0, 0.0.0.0, multicast; negative slots; thousands of labels
- in a list of runs, a row that is no list or too deep: the whole list was lost; an end number never reached: later ends were ignored; an unknown run that no stop ends: the upstream was never held; a stop for each of 100,000
- a token of a notice or of the saved file near its maximum: the next one overflowed and no upstream could be held

Cause: each source had its own partial checks, and lists were decoded all or nothing.

Change: internal/validator has the checks of addresses, times and names. holder.Upstream.Validate is the one check of an upstream, used for reports, notices and the saved file. A holder waits for an unknown run no longer than the longest lease.

--- a/internal/conductor/decoder.go
+++ b/internal/conductor/decoder.go
@@ -99,25 +99,28 @@
 	return forwarder.Cancel{ID: w.GetId(), Part: int(w.GetPart()), Attempt: int(w.GetAttempt()), AllParts: w.GetEverywhere()}
 }
 
-func decodeNotice(w *wire.UpstreamReport) (holder.Notice, error) {
+// decodeNotice decodes a notice that arrives, or is read from the disk, at a time.
+func decodeNotice(now time.Time, w *wire.UpstreamReport) (holder.Notice, error) {
 	address, err := netip.ParseAddrPort(w.GetAddress())
 	if err != nil {
 		return holder.Notice{}, fmt.Errorf("%w: upstream %q: %w", ErrInvalidMessage, w.GetId(), err)
 	}
-	state := holder.State(w.GetState())
-	capacity := holder.Capacity{MilliCores: w.GetMilliCores(), MemoryMB: w.GetMemoryMb(), Accelerators: w.GetAccelerators()}
-	if w.GetId() == "" || state < holder.Ready || state > holder.Gone || !capacity.IsValid() {
-		return holder.Notice{}, fmt.Errorf("%w: upstream %q: id, state or capacity", ErrInvalidMessage, w.GetId())
-	}
-	return holder.Notice{
+	n := holder.Notice{
 		Upstream: holder.Upstream{
 			ID: w.GetId(), Service: w.GetService(), Address: address, DataCentre: w.GetDataCentre(), Rack: w.GetRack(),
-			Labels: w.GetLabels(), State: state, StartedAt: decodeTime(w.GetBorn()), Sequence: w.GetSequence(),
-			Capacity: capacity,
+			Labels: w.GetLabels(), State: holder.State(w.GetState()), StartedAt: decodeTime(w.GetBorn()), Sequence: w.GetSequence(),
+			Capacity: holder.Capacity{MilliCores: w.GetMilliCores(), MemoryMB: w.GetMemoryMb(), Accelerators: w.GetAccelerators()},
 			Clock:    time.Duration(w.GetClock()),
 		},
 		Holder: w.GetHolder(), Token: w.GetToken(),
-	}, nil
+	}
+	if err := n.Upstream.Validate(now); err != nil {
+		return holder.Notice{}, fmt.Errorf("%w: upstream %q: %w", ErrInvalidMessage, w.GetId(), err)
+	}
+	if n.Token > holder.MaxToken {
+		return holder.Notice{}, fmt.Errorf("%w: upstream %q: token %d", ErrInvalidMessage, w.GetId(), n.Token)
+	}
+	return n, nil
 }
 
 func decodeCrashes(w *wire.CrashReport) ([]quarantiner.Crash, error) {
--- a/internal/conductor/decoder_test.go
+++ b/internal/conductor/decoder_test.go
@@ -47,19 +47,33 @@
 	valid := func() *wire.UpstreamReport {
 		return &wire.UpstreamReport{Id: "u", Address: "10.0.0.1:1", State: int32(holder.Ready), MilliCores: 1000}
 	}
-	_, err := decodeNotice(valid())
+	now := time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+	_, err := decodeNotice(now, valid())
 	require.NoError(t, err)
+	_, err = decodeNotice(now, &wire.UpstreamReport{Id: "u", Address: "10.0.0.1:1", State: int32(holder.Gone), Sequence: math.MaxUint64})
+	require.NoError(t, err, "a departure")
 	for name, change := range map[string]func(r *wire.UpstreamReport){
 		"no id":             func(r *wire.UpstreamReport) { r.Id = "" },
 		"no address":        func(r *wire.UpstreamReport) { r.Address = "" },
 		"unknown state":     func(r *wire.UpstreamReport) { r.State = 99 },
 		"no state":          func(r *wire.UpstreamReport) { r.State = 0 },
 		"negative capacity": func(r *wire.UpstreamReport) { r.MilliCores = -1 },
+		"port out of range": func(r *wire.UpstreamReport) { r.Address = "10.0.0.1:99999" },
+		"no port":           func(r *wire.UpstreamReport) { r.Address = "10.0.0.1:0" },
+		"this VM":           func(r *wire.UpstreamReport) { r.Address = "0.0.0.0:1" },
+		"born too late":     func(r *wire.UpstreamReport) { r.Born = math.MaxInt64 },
+		"born too early":    func(r *wire.UpstreamReport) { r.Born = math.MinInt64 },
+		"endless clock":     func(r *wire.UpstreamReport) { r.Clock = math.MaxInt64 },
+		"negative clock":    func(r *wire.UpstreamReport) { r.Clock = -1 },
+		"highest sequence":  func(r *wire.UpstreamReport) { r.Sequence = math.MaxUint64 },
+		"highest token":     func(r *wire.UpstreamReport) { r.Token = math.MaxUint64 },
+		"unreadable id":     func(r *wire.UpstreamReport) { r.Id = "\xff" },
+		"many labels":       func(r *wire.UpstreamReport) { r.Labels = make([]string, 9000) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := valid()
 			change(r)
-			_, err := decodeNotice(r)
+			_, err := decodeNotice(now, r)
 			assert.ErrorIs(t, err, ErrInvalidMessage)
 		})
 	}
--- a/internal/conductor/memory.go
+++ b/internal/conductor/memory.go
@@ -172,7 +172,7 @@
 		return
 	}
 	for _, w := range memory.GetUpstreams() {
-		notice, err := decodeNotice(w)
+		notice, err := decodeNotice(d.startedAt, w)
 		if err != nil {
 			d.recordInvalidMessage(memoryFile, err)
 			continue
--- a/internal/conductor/memory_test.go
+++ b/internal/conductor/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"bronzedrift.example/bronzedrift/internal/holder"
+	"bronzedrift.example/bronzedrift/internal/messenger/wire"
 	"bronzedrift.example/bronzedrift/internal/quarantiner"
 )
 
@@ -96,3 +98,34 @@
 	restarted := newTestConductor(t, folder)
 	assert.Equal(t, crashes, restarted.holder.Crashes(restarted.startedAt))
 }
+
+// TestOddEntriesOfMemoryFile guards against a VM that can hold no upstream after a restart, since one
+// entry of its file can't be true, and against an entry that makes it forget the others.
+func TestOddEntriesOfMemoryFile(t *testing.T) {
+	folder := t.TempDir()
+	d := newTestConductor(t, folder)
+	sound := holder.Notice{Upstream: testUpstream(1), Token: 7 << 12}
+	memory := encodeMemory([]holder.Notice{sound}, nil, nil)
+	for name, change := range map[string]func(u *wire.UpstreamReport){
+		"highest token":     func(u *wire.UpstreamReport) { u.Token = math.MaxUint64 },
+		"born too late":     func(u *wire.UpstreamReport) { u.Born = math.MaxInt64 },
+		"born too early":    func(u *wire.UpstreamReport) { u.Born = math.MinInt64 },
+		"port out of range": func(u *wire.UpstreamReport) { u.Address = "10.0.0.1:99999" },
+		"no port":           func(u *wire.UpstreamReport) { u.Address = "10.0.0.1:0" },
+		"this VM":           func(u *wire.UpstreamReport) { u.Address = "0.0.0.0:80" },
+		"endless clock":     func(u *wire.UpstreamReport) { u.Clock = math.MaxInt64 },
+		"thousands of labels": func(u *wire.UpstreamReport) {
+			u.Labels = make([]string, 9000)
+		},
+	} {
+		odd := encodeNotice(&sound)
+		odd.Id = name
+		change(odd)
+		memory.Upstreams = append(memory.Upstreams, odd)
+	}
+	require.NoError(t, d.writeMemory(memory))
+	restarted := newTestConductor(t, folder)
+	notices := restarted.holder.Notices()
+	require.Len(t, notices, 1, "an entry that can't be true is kept")
+	assert.Equal(t, "u", notices[0].Upstream.ID)
+}
--- a/internal/conductor/receive.go
+++ b/internal/conductor/receive.go
@@ -65,7 +65,7 @@
 		answer.Incarnation = r.GetIncarnation()
 		d.forwarder.Answer(now, from, answer, &d.forwarderEffects)
 	case *wire.Relay_Report:
-		notice, err := decodeNotice(b.Report)
+		notice, err := decodeNotice(now, b.Report)
 		if err != nil {
 			d.recordInvalidMessage(from, err)
 			return
--- a/internal/holder/assign.go
+++ b/internal/holder/assign.go
@@ -308,7 +308,7 @@
 // and lists the runs there.
 func (h *Holder) take(now time.Time, u *trackedUpstream) {
 	u.token = h.nextToken(now, u)
-	u.phase = taking
+	u.phase, u.fencedAt = taking, time.Time{}
 	u.holder = h.config.VM
 	u.lastEnd, u.ackedEnd, u.confirmedLeaseEnd = 0, 0, 0
 	u.holdPending, u.holdRetryAt = false, time.Time{}
@@ -320,7 +320,7 @@
 func (h *Holder) Handover(now time.Time, from string, id string, token uint64, out *Effects) {
 	h.out = out
 	u := h.upstreams[id]
-	if u == nil || u.phase != notHeld || token < u.token {
+	if u == nil || u.phase != notHeld || token < u.token || token > MaxToken {
 		return
 	}
 	h.logDecision(Decision{Event: "upstream-offered", Upstream: id, Peer: from})
@@ -394,7 +394,7 @@
 	u.speed, u.failureRate, u.failures, u.pausedUntil = 1, 0, 0, time.Time{}
 	if u.phase != notHeld {
 		u.token = h.nextToken(now, u)
-		u.phase = taking
+		u.phase, u.fencedAt = taking, time.Time{}
 		u.holdPending, u.holdRetryAt = false, time.Time{}
 	}
 }
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -58,8 +58,9 @@
 	holdPending       bool
 	holdSentAt        time.Time
 	holdRetryAt       time.Time
-	// listedAt is when the upstream last listed its runs.
-	listedAt time.Time
+	// listedAt is when the upstream last listed its runs, and fencedAt when it first did so under
+	// the token.
+	listedAt, fencedAt time.Time
 	// isUnresponsive is set while the latest hold call has failed.
 	isUnresponsive bool
 	speed          float64
--- a/internal/holder/results.go
+++ b/internal/holder/results.go
@@ -192,6 +192,9 @@
 	}
 	h.needsPlacement = h.needsPlacement || u.isUnresponsive
 	u.isUnresponsive, u.listedAt = false, now
+	if u.fencedAt.IsZero() {
+		u.fencedAt = now
+	}
 	u.ackedEnd = max(u.ackedEnd, result.Call.LastEnd)
 	endedRuns := h.processEnds(now, u, result.Ended)
 	h.reconcileRuns(now, u, result, endedRuns)
@@ -263,6 +266,9 @@
 	return ended
 }
 
+// maxStrayStops limits the unknown runs that are stopped for one list; the next lists show the rest.
+const maxStrayStops = 64
+
 // maxListedEnds is the maximum number of ended runs in one list.
 const maxListedEnds = 500
 
@@ -292,6 +298,9 @@
 			continue
 		}
 		unknownTasks[s.Task] = true
+		if len(unknownTasks) > maxStrayStops {
+			continue
+		}
 		h.out.Calls = append(h.out.Calls, Call{
 			Kind: StopCall, Upstream: u.ID, Address: u.Address, Token: u.token, Task: s.Task, Run: s.Run,
 			Timeout: h.config.Timing.CallTimeout, SentAt: now,
@@ -309,7 +318,8 @@
 	if u.phase != taking {
 		return
 	}
-	if len(unknownTasks) > 0 {
+	// No lease is renewed while the upstream is taken: what is listed for longer does not run.
+	if len(unknownTasks) > 0 && now.Sub(u.fencedAt) <= h.config.Timing.longestLease() {
 		u.holdRetryAt = now.Add(h.config.Timing.StopTime)
 		return
 	}
--- a/internal/holder/upstream.go
+++ b/internal/holder/upstream.go
@@ -7,9 +7,13 @@
 package holder
 
 import (
+	"errors"
+	"fmt"
 	"net/netip"
 	"slices"
 	"time"
+
+	"bronzedrift.example/bronzedrift/internal/validator"
 )
 
 // Capacity is what an upstream offers or a task needs.
@@ -69,6 +73,50 @@
 	Clock time.Duration
 }
 
+// ErrInvalidUpstream is returned for an upstream with a value that none can have.
+var ErrInvalidUpstream = errors.New("holder: invalid upstream")
+
+const (
+	// MaxSequence leaves room for the sequence number of a departure, which is above that of
+	// each heartbeat.
+	MaxSequence = 1 << 62
+	// MaxClock is a century, the longest that an upstream's clock may have run.
+	MaxClock = 100 * 365 * 24 * time.Hour
+	// MaxToken leaves room for the tokens that follow it.
+	MaxToken = 1 << 62
+	// maxLabels limits the labels of an upstream, which are sent to all VMs.
+	maxLabels = 64
+)
+
+// Validate checks an upstream that another program has described, whether it is read from a
+// heartbeat, from another VM or from the disk. Its error wraps ErrInvalidUpstream.
+func (u *Upstream) Validate(now time.Time) error {
+	switch {
+	case !validator.IsName(u.ID), !validator.IsText(u.Service, validator.MaxNameBytes), !validator.IsText(u.DataCentre, validator.MaxNameBytes):
+		return fmt.Errorf("%w: id, service or data centre", ErrInvalidUpstream)
+	case u.State < Ready || u.State > Gone:
+		return fmt.Errorf("%w: state %d", ErrInvalidUpstream, u.State)
+	case !validator.IsDialable(u.Address):
+		return fmt.Errorf("%w: address %s", ErrInvalidUpstream, u.Address)
+	case !u.Capacity.IsValid():
+		return fmt.Errorf("%w: capacity", ErrInvalidUpstream)
+	case !validator.IsStartTime(now, u.StartedAt):
+		return fmt.Errorf("%w: start time", ErrInvalidUpstream)
+	case u.Clock < 0 || u.Clock > MaxClock:
+		return fmt.Errorf("%w: clock", ErrInvalidUpstream)
+	case u.Sequence > MaxSequence && u.State != Gone:
+		return fmt.Errorf("%w: sequence number", ErrInvalidUpstream)
+	case len(u.Labels) > maxLabels:
+		return fmt.Errorf("%w: %d labels", ErrInvalidUpstream, len(u.Labels))
+	}
+	for _, text := range append([]string{u.Rack}, u.Labels...) {
+		if !validator.IsText(text, validator.MaxNameBytes) {
+			return fmt.Errorf("%w: a label", ErrInvalidUpstream)
+		}
+	}
+	return nil
+}
+
 // isNewerThan reports whether a heartbeat replaces another: by a later incarnation or,
 // within one, by a higher sequence number.
 func (u *Upstream) isNewerThan(o *Upstream) bool {
