Own interface: odd announcements and answers of upstreams change nothing

On the own interface ports out of range, port 0, numbers too large and deep texts were refused. Not refused: 0.0.0.0, start times in the future or before 1970 (they overflow in messages between entries, and make an upstream seem to restart), racks of any length; epochs at the top of their range, after which a range was claimed again and again and its jobs suspended each time; and one announcement that could not be decoded or encoded ended the link to a peer, which repeats it on the next link.

Change: the checks of internal/validator in the decoder of announcements, in messages of entries and in answers to fences and queries. Links leave out what can't be decoded or encoded, and log it. Upstreams refuse epochs above runner.MaxEpoch, and entries take such an answer for a failed request, so that one upstream does not take a range from its owner. Answers to fences are limited to 64 MB.

--- a/internal/decoder/decoder_test.go
+++ b/internal/decoder/decoder_test.go
@@ -51,10 +51,13 @@
 	}
 }
 
+// announcedAt is when the announcements of the tests arrive.
+var announcedAt = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+
 func TestUpstream(t *testing.T) {
 	const good = `{"address":"127.0.0.1:9","data-centre":"a","slots":8,"services":["s"],"capabilities":["fence"]}`
 	t.Run("good", func(t *testing.T) {
-		u, err := DecodeUpstream("u", strings.NewReader(good))
+		u, err := DecodeUpstream(announcedAt, "u", strings.NewReader(good))
 		require.NoError(t, err)
 		assert.Equal(t, 8, u.Capacity.Slots)
 		assert.True(t, u.HasCapability("fence"))
@@ -64,9 +67,21 @@
 		"no slots":           {`"slots":8`, `"slots":0`, "slots: must be a whole number from 1"},
 		"unknown capability": {`"fence"`, `"fly"`, "capabilities[0]: must be fence"},
 		"no services":        {`["s"]`, `[]`, "services: must name at least one service"},
+		"port out of range":  {"127.0.0.1:9", "127.0.0.1:99999", "address: must be an IP number"},
+		"no port":            {"127.0.0.1:9", "127.0.0.1:0", "address: must be an IP number"},
+		"this VM":            {"127.0.0.1:9", "0.0.0.0:9", "address: must be an IP number"},
+		"negative slots":     {`"slots":8`, `"slots":-1`, "slots: must be a whole number from 1"},
+		"slots beyond range": {`"slots":8`, `"slots":1e400`, "slots: must be a whole number from 1"},
+		"endless cores":      {`"slots":8`, `"slots":8,"cores":1e400`, "cores: must be a number"},
+		"started too late":   {`"slots":8`, `"slots":8,"started-at":"9999-12-31T00:00:00Z"`, "started-at: must be a time"},
+		"started too early":  {`"slots":8`, `"slots":8,"started-at":"0001-01-02T00:00:00Z"`, "started-at: must be a time"},
+		"thousands of names": {`["s"]`, `["s"` + strings.Repeat(`,"s"`, 9000) + `]`, "services: must be a list of at most"},
+		"a long rack":        {`"slots":8`, `"slots":8,"rack":"` + strings.Repeat("r", 9000) + `"`, "rack: must be a string of at most"},
+		"very deep":          {`["s"]`, strings.Repeat("[", 10_001) + strings.Repeat("]", 10_001), "exceeded max depth"},
+		"very deep, unknown": {`"slots":8`, `"slots":8,"x":` + strings.Repeat("[", 10_001) + strings.Repeat("]", 10_001), "x: is not known"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, err := DecodeUpstream("u", strings.NewReader(strings.Replace(good, replace[0], replace[1], 1)))
+			_, err := DecodeUpstream(announcedAt, "u", strings.NewReader(strings.Replace(good, replace[0], replace[1], 1)))
 			assert.ErrorContains(t, err, replace[2])
 		})
 	}
@@ -102,7 +117,7 @@
 func FuzzUpstream(f *testing.F) {
 	f.Add([]byte(`{"address":"127.0.0.1:9","data-centre":"a","slots":8,"services":["s"]}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		u, err := DecodeUpstream("u", bytes.NewReader(body))
+		u, err := DecodeUpstream(announcedAt, "u", bytes.NewReader(body))
 		if err == nil {
 			assert.Positive(t, u.Capacity.Slots)
 		}
--- a/internal/decoder/object.go
+++ b/internal/decoder/object.go
@@ -13,6 +13,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"bronzedrift.example/bronzedrift/internal/validator"
 )
 
 // FieldError reports an invalid field of a request.
@@ -125,6 +127,18 @@
 	return compact.Bytes(), nil
 }
 
+// text decodes a string of printable characters.
+func (o *object) text(key string, v *string) error {
+	want := fmt.Sprintf("a string of at most %d bytes without control characters", validator.MaxNameBytes)
+	if err := o.value(key, want, v); err != nil {
+		return err
+	}
+	if !validator.IsText(*v, validator.MaxNameBytes) {
+		return &FieldError{o.fieldPath(key), "must be " + want}
+	}
+	return nil
+}
+
 // name decodes a string for which IsName is true.
 func (o *object) name(key string, maxBytes int, v *string) error {
 	if err := o.value(key, "a string", v); err != nil {
@@ -212,7 +226,7 @@
 		return err
 	}
 	a, err := netip.ParseAddrPort(s)
-	if err != nil || a.Port() == 0 {
+	if err != nil || !validator.IsDialable(a) {
 		return &FieldError{o.fieldPath(key), "must be " + want}
 	}
 	*v = a
--- a/internal/decoder/upstream.go
+++ b/internal/decoder/upstream.go
@@ -8,6 +8,7 @@
 
 	"bronzedrift.example/bronzedrift/internal/dispatcher"
 	"bronzedrift.example/bronzedrift/internal/router"
+	"bronzedrift.example/bronzedrift/internal/validator"
 )
 
 const (
@@ -15,8 +16,8 @@
 	maxCapabilities = 16
 )
 
-// DecodeUpstream decodes the announcement of the named upstream.
-func DecodeUpstream(name string, r io.Reader) (*dispatcher.Upstream, error) {
+// DecodeUpstream decodes the announcement of the named upstream that arrives at a time.
+func DecodeUpstream(now time.Time, name string, r io.Reader) (*dispatcher.Upstream, error) {
 	u := &dispatcher.Upstream{Name: name}
 	if !IsName(name, maxNameBytes) {
 		return u, &FieldError{"name", "must be a name"}
@@ -31,7 +32,7 @@
 		case "data-centre":
 			return o.name(key, maxNameBytes, &u.DataCentre)
 		case "rack":
-			return o.value(key, "a string", &u.Rack)
+			return o.text(key, &u.Rack)
 		case "slots":
 			return o.integer(key, 1, maxSlots, &slots)
 		case "cores":
@@ -58,6 +59,9 @@
 	if err != nil {
 		return u, err
 	}
+	if !validator.IsStartTime(now, u.MemorySince) {
+		return u, &FieldError{"started-at", "must be a time since 1970 that is not in the future"}
+	}
 	return u, completeUpstream(u, capabilities)
 }
 
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -193,7 +193,7 @@
 }
 
 func (l *Listener) serveAnnounce(w http.ResponseWriter, r *http.Request) {
-	u, err := decoder.DecodeUpstream(r.PathValue("name"), http.MaxBytesReader(w, r.Body, l.config.MaxBodyBytes))
+	u, err := decoder.DecodeUpstream(l.config.Now(), r.PathValue("name"), http.MaxBytesReader(w, r.Body, l.config.MaxBodyBytes))
 	if err != nil {
 		writeError(w, http.StatusBadRequest, err.Error())
 		return
--- a/internal/messenger/decoder.go
+++ b/internal/messenger/decoder.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"time"
@@ -9,6 +10,7 @@
 	"bronzedrift.example/bronzedrift/internal/messenger/wire"
 	"bronzedrift.example/bronzedrift/internal/router"
 	"bronzedrift.example/bronzedrift/internal/scheduler"
+	"bronzedrift.example/bronzedrift/internal/validator"
 )
 
 // decode converts a wire message to a dispatcher message. A message of an unknown
@@ -102,10 +104,23 @@
 	}
 }
 
+// errInvalidUpstream is returned for an announcement with a value that none can have.
+var errInvalidUpstream = errors.New("messenger: invalid upstream")
+
+// decodeUpstream decodes an announcement. A peer of another version may have accepted more than this one.
 func decodeUpstream(u *wire.Upstream) (*dispatcher.Upstream, error) {
 	address, err := netip.ParseAddrPort(u.GetAddress())
 	if err != nil {
-		return nil, fmt.Errorf("messenger: address of upstream %q: %w", u.GetName(), err)
+		return nil, fmt.Errorf("%w %q: %w", errInvalidUpstream, u.GetName(), err)
+	}
+	announced, since := fromUnixNano(u.GetAnnounced()), fromUnixNano(u.GetStarted())
+	switch {
+	case !validator.IsName(u.GetName()):
+		return nil, fmt.Errorf("%w: name", errInvalidUpstream)
+	case !validator.IsDialable(address):
+		return nil, fmt.Errorf("%w %q: address %s", errInvalidUpstream, u.GetName(), address)
+	case !validator.IsStartTime(announced, since):
+		return nil, fmt.Errorf("%w %q: start time", errInvalidUpstream, u.GetName())
 	}
 	capabilities := make([]dispatcher.Capability, len(u.GetCapabilities()))
 	for i, c := range u.GetCapabilities() {
@@ -114,7 +129,7 @@
 	return &dispatcher.Upstream{
 		Name: u.GetName(), Address: address, DataCentre: u.GetDataCentre(), Rack: u.GetRack(),
 		Capacity: decodeShape(u.GetCapacity()), Services: u.GetServices(), Capabilities: capabilities,
-		Leaving: u.GetLeaving(), MemorySince: fromUnixNano(u.GetStarted()), Announced: fromUnixNano(u.GetAnnounced()),
+		Leaving: u.GetLeaving(), MemorySince: since, Announced: announced,
 	}, nil
 }
 
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -21,13 +21,16 @@
 // ErrFrameTooLong reports a frame that is longer than maxFrameBytes.
 var ErrFrameTooLong = errors.New("messenger: frame too long")
 
+// errNotEncodable reports a message that can't be encoded, such as one with a string that is not UTF-8.
+var errNotEncodable = errors.New("messenger: encoding a frame")
+
 // writeFrame writes a protobuf message with a 4-byte big-endian length in front.
 // It returns the buffer, which holds the frame, for reuse.
 func writeFrame(w io.Writer, buffer []byte, m proto.Message) ([]byte, error) {
 	buffer = append(buffer[:0], 0, 0, 0, 0)
 	buffer, err := proto.MarshalOptions{}.MarshalAppend(buffer, m)
 	if err != nil {
-		return buffer, fmt.Errorf("messenger: encoding a frame: %w", err)
+		return buffer, fmt.Errorf("%w: %w", errNotEncodable, err)
 	}
 	binary.BigEndian.PutUint32(buffer, uint32(len(buffer)-4))
 	for rest := buffer; len(rest) > 0; {
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -8,10 +8,12 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
 
 	"bronzedrift.example/bronzedrift/internal/dispatcher"
 	"bronzedrift.example/bronzedrift/internal/messenger/wire"
@@ -215,7 +217,12 @@
 			sequence++
 			frame := l.nextFrame(first, sequence)
 			var err error
-			if buffer, err = writeFrame(w, buffer, frame); err != nil {
+			buffer, err = writeFrame(w, buffer, frame)
+			if errors.Is(err, errNotEncodable) {
+				l.dropNotEncodable(frame)
+				buffer, err = writeFrame(w, buffer, frame)
+			}
+			if err != nil {
 				return
 			}
 			l.messenger.countSent(frame, len(buffer))
@@ -223,6 +230,18 @@
 	}
 }
 
+// dropNotEncodable drops the messages of a frame that can't be encoded: they would end this link, and
+// the next one too if they are sent again.
+func (l *link) dropNotEncodable(frame *wire.Frame) {
+	frame.Messages = slices.DeleteFunc(frame.Messages, func(m *wire.Message) bool {
+		_, err := proto.Marshal(m)
+		if err != nil {
+			l.messenger.handlers.Event(recorder.Event{Number: recorder.LinkRefused, Peer: l.peer.VM, Text: err.Error(), Task: recorder.NoTask})
+		}
+		return err != nil
+	})
+}
+
 // progressWriter fails if a single write takes longer than the timeout: a large frame on a
 // narrow link may take longer than that as a whole.
 type progressWriter struct {
@@ -373,7 +392,8 @@
 }
 
 // deliver passes the messages of a frame to the handlers. It returns false on a
-// message that can't be decoded.
+// message that can't be decoded. An invalid announcement is left out: its sender repeats
+// it on each new link.
 func (m *Messenger) deliver(from string, session uint64, frame *wire.Frame) bool {
 	for _, w := range frame.GetMessages() {
 		if log, ok := w.GetBody().(*wire.Message_Log); ok {
@@ -387,6 +407,9 @@
 		msg, err := decode(w)
 		if err != nil {
 			m.handlers.Event(recorder.Event{Number: recorder.LinkRefused, Peer: from, Text: err.Error(), Task: recorder.NoTask})
+			if errors.Is(err, errInvalidUpstream) {
+				continue
+			}
 			return false
 		}
 		m.handlers.Message(from, msg)
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"math"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -87,6 +88,58 @@
 	return n
 }
 
+// TestInvalidAnnouncementIsLeftOut guards against a link that ends again and again, since a peer repeats
+// the announcement of an upstream that can't be used, and against peers that miss the others.
+func TestInvalidAnnouncementIsLeftOut(t *testing.T) {
+	now := time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+	valid := func() *wire.Upstream {
+		return &wire.Upstream{Name: "u", Address: "127.0.0.1:9", Announced: now.UnixNano(), Started: now.UnixNano()}
+	}
+	for name, change := range map[string]func(u *wire.Upstream){
+		"port out of range": func(u *wire.Upstream) { u.Address = "127.0.0.1:99999" },
+		"no port":           func(u *wire.Upstream) { u.Address = "127.0.0.1:0" },
+		"this VM":           func(u *wire.Upstream) { u.Address = "0.0.0.0:9" },
+		"started too late":  func(u *wire.Upstream) { u.Started = math.MaxInt64 },
+		"started too early": func(u *wire.Upstream) { u.Started = math.MinInt64 },
+		"no name":           func(u *wire.Upstream) { u.Name = "" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var names []string
+			events := 0
+			m := &Messenger{handlers: Handlers{
+				Message: func(_ string, m dispatcher.Message) { names = append(names, m.Announce.Name) },
+				Event:   func(recorder.Event) { events++ },
+			}}
+			odd := valid()
+			change(odd)
+			frame := &wire.Frame{Messages: []*wire.Message{
+				{Body: &wire.Message_Announce{Announce: odd}}, {Body: &wire.Message_Announce{Announce: valid()}},
+			}}
+			assert.True(t, m.deliver("peer", 1, frame), "the link ends")
+			assert.Equal(t, []string{"u"}, names)
+			assert.Equal(t, 1, events)
+		})
+	}
+}
+
+// TestMessageThatCannotBeEncoded guards against a link that ends again and again, since one message has a
+// string that is not UTF-8.
+func TestMessageThatCannotBeEncoded(t *testing.T) {
+	peers := testPeers()
+	a := newTestNode(t, "a", "secret", peers[0].Inner, peers)
+	b := newTestNode(t, "b", "secret", peers[1].Inner, peers)
+	assert.Equal(t, "b", awaitName(t, a.up))
+	require.True(t, a.Send("b", dispatcher.Message{Announce: &dispatcher.Upstream{Name: "u", Rack: "\xff"}}))
+	require.True(t, a.Send("b", dispatcher.Message{Settlement: &dispatcher.Settlement{Count: 7}}))
+	select {
+	case m := <-b.received:
+		require.NotNil(t, m.Settlement)
+		assert.Equal(t, 7, m.Settlement.Count)
+	case vm := <-a.lost:
+		assert.Fail(t, "the link has ended", vm)
+	}
+}
+
 func testPeers() []Peer {
 	return []Peer{
 		{VM: "a", Inner: netip.MustParseAddrPort("127.77.1.1:17001")},
--- a/internal/sender/resolver.go
+++ b/internal/sender/resolver.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -13,6 +14,8 @@
 	"time"
 
 	"bronzedrift.example/bronzedrift/internal/dispatcher"
+	"bronzedrift.example/bronzedrift/internal/validator"
+	"bronzedrift.example/bronzedrift/pkg/runner"
 )
 
 const (
@@ -213,6 +216,8 @@
 		err = json.Unmarshal(body, state)
 	}
 	switch {
+	case !validator.IsStartTime(s.config.Now(), state.StartedAt):
+		return nil, errNoTaskState
 	case res.StatusCode == http.StatusNotFound:
 		state.State = "unknown"
 		return state, nil
@@ -239,6 +244,12 @@
 	StartedAt time.Time `json:"started-at"`
 }
 
+// errInvalidFence is returned for a response with a time or an epoch that can't be true.
+var errInvalidFence = errors.New("sender: a fence response is out of range")
+
+// maxFenceBytes is many times the size of the ids of all tasks that an upstream remembers.
+const maxFenceBytes = 64 << 20
+
 // Fence makes an upstream refuse lower epochs of a range.
 func (s *Sender) Fence(ctx context.Context, f *dispatcher.FenceRange) *dispatcher.FenceEnd {
 	end := &dispatcher.FenceEnd{
@@ -277,8 +288,12 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	answer := &fenceAnswer{}
-	if err := json.NewDecoder(res.Body).Decode(answer); err != nil {
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxFenceBytes)).Decode(answer); err != nil {
 		return nil, 0, fmt.Errorf("sender: decoding a fence response: %w", err)
 	}
+	now := s.config.Now()
+	if !validator.IsStartTime(now, answer.Since) || !validator.IsStartTime(now, answer.StartedAt) || answer.Epoch > runner.MaxEpoch {
+		return nil, 0, errInvalidFence
+	}
 	return answer, res.StatusCode, nil
 }
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"bronzedrift.example/bronzedrift/internal/dispatcher"
+	"bronzedrift.example/bronzedrift/internal/validator"
 	"bronzedrift.example/bronzedrift/pkg/runner"
 )
 
@@ -154,7 +155,7 @@
 	defer func() { _ = res.Body.Close() }()
 	body, err := s.readJSON(res)
 	if res.StatusCode != http.StatusOK {
-		return endForStatus(res, st)
+		return endForStatus(s.config.Now(), res, st)
 	}
 	if err != nil {
 		return s.incompleteResult(st)
@@ -203,16 +204,16 @@
 
 // endForStatus returns the end for a status other than 200. Only a 503 with the header
 // Bronzedrift-Ran: no proves that the task did not start.
-func endForStatus(res *http.Response, st *dispatcher.Start) *dispatcher.TaskEnd {
+func endForStatus(now time.Time, res *http.Response, st *dispatcher.Start) *dispatcher.TaskEnd {
 	if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get(runner.HeaderRan) != "no" {
 		return &dispatcher.TaskEnd{Kind: dispatcher.EndedFailed, Status: res.StatusCode}
 	}
 	higher, err := strconv.ParseInt(res.Header.Get(runner.HeaderEpoch), 10, 64)
-	if err == nil && higher > st.Epoch {
+	if err == nil && higher > st.Epoch && higher <= runner.MaxEpoch {
 		return &dispatcher.TaskEnd{Kind: dispatcher.EndedSuperseded, HigherEpoch: higher}
 	}
 	since, err := time.Parse(time.RFC3339Nano, res.Header.Get(runner.HeaderStartedAt))
-	if err == nil && !dispatcher.IsSameMemory(since, st.MemorySince) {
+	if err == nil && !dispatcher.IsSameMemory(since, st.MemorySince) && validator.IsStartTime(now, since) {
 		return &dispatcher.TaskEnd{
 			Kind: dispatcher.EndedRestarted, Status: res.StatusCode,
 			ExpectedSince: st.MemorySince, MemorySince: since,
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -201,3 +202,43 @@
 		assert.False(t, s.Fence(context.Background(), fenceRange(u)).OK)
 	})
 }
+
+// TestFenceOutOfRange guards against a range that is claimed again and again, since one upstream names an
+// epoch above which there is none, and against restarts that no upstream can have had.
+func TestFenceOutOfRange(t *testing.T) {
+	s := New(Config{MaxResultBytes: 1 << 20})
+	for name, c := range map[string]struct {
+		status int
+		body   string
+	}{
+		"highest epoch":         {http.StatusConflict, `{"epoch":9223372036854775807}`},
+		"epoch beyond range":    {http.StatusConflict, `{"epoch":1e400}`},
+		"memory of the future":  {http.StatusOK, `{"epoch":7,"since":"9999-01-01T00:00:00Z"}`},
+		"started in the future": {http.StatusOK, `{"epoch":7,"started-at":"9999-01-01T00:00:00Z"}`},
+		"started before 1970":   {http.StatusOK, `{"epoch":7,"started-at":"0001-01-02T00:00:00Z"}`},
+		"very deep":             {http.StatusOK, `{"epoch":7,"task-ids":` + strings.Repeat("[", 10_001) + strings.Repeat("]", 10_001) + `}`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newFakeUpstream(t, nil, answer(c.status, c.body), nil)
+			end := s.Fence(context.Background(), &dispatcher.FenceRange{Range: "r", Epoch: 7, Upstream: "u", Address: u.address()})
+			assert.False(t, end.OK)
+			assert.Zero(t, end.HigherEpoch)
+		})
+	}
+	t.Run("refused start", func(t *testing.T) {
+		u := newFakeUpstream(t, refuse("9223372036854775807"), nil, nil)
+		assert.Equal(t, dispatcher.EndedNotStarted, run(start(u)).Kind)
+	})
+}
+
+// TestTaskStateOutOfRange guards against a repeatable task that starts elsewhere while it runs: an
+// answer with a start time that can't be true is no evidence of a restart.
+func TestTaskStateOutOfRange(t *testing.T) {
+	answers := make(chan http.HandlerFunc, 2)
+	answers <- answer(http.StatusNotFound, `{"started-at":"9999-01-01T00:00:00Z"}`)
+	answers <- answer(http.StatusOK, `{"state":"finished","status":200,"result":1,"started-at":"2026-01-01T00:00:00Z"}`)
+	u := newFakeUpstream(t, closeConnection(0), func(w http.ResponseWriter, r *http.Request) { (<-answers)(w, r) }, nil)
+	st := start(u)
+	st.MemorySince = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	assert.Equal(t, dispatcher.EndedComplete, run(st).Kind)
+}
--- a/pkg/runner/handler.go
+++ b/pkg/runner/handler.go
@@ -60,7 +60,7 @@
 		return
 	}
 	epoch, err := strconv.ParseInt(req.Header.Get(HeaderEpoch), 10, 64)
-	if err != nil {
+	if err != nil || epoch > MaxEpoch {
 		refuse(w, 0, HeaderEpoch+" is no whole number")
 		return
 	}
@@ -162,9 +162,17 @@
 	return s
 }
 
+// MaxEpoch is the highest epoch that an upstream accepts. It leaves room for those of later owners.
+const MaxEpoch = 1 << 62
+
+var errEpochTooHigh = errors.New("the epoch is out of range")
+
 func (r *Runner) serveFence(w http.ResponseWriter, req *http.Request) {
 	var body fenceJSON
 	err := json.NewDecoder(http.MaxBytesReader(w, req.Body, 1<<16)).Decode(&body)
+	if err == nil && body.Epoch > MaxEpoch {
+		err = errEpochTooHigh
+	}
 	if err != nil {
 		http.Error(w, errors.Join(errors.New("runner: fence"), err).Error(), http.StatusBadRequest)
 		return
--- a/pkg/runner/runner_test.go
+++ b/pkg/runner/runner_test.go
@@ -122,6 +122,20 @@
 	assert.Contains(t, body, `"epoch":6`)
 }
 
+// TestEpochsOutOfRange guards against an upstream that refuses all later owners of a range.
+func TestEpochsOutOfRange(t *testing.T) {
+	u := newUpstream(t, 4)
+	close(u.release)
+	for _, epoch := range []string{"9223372036854775807", "9223372036854775808", "1e400"} {
+		status, body, _ := u.call(t, http.MethodPut, "/v1/fences/range", "", `{"epoch":`+epoch+`}`)
+		assert.Equal(t, http.StatusBadRequest, status, body)
+		status, _, header := u.call(t, http.MethodPost, "/v1/tasks/j.0", epoch, "1")
+		assertRefused(t, status, header)
+	}
+	status, _, _ := u.call(t, http.MethodPost, "/v1/tasks/j.0", "5", "1")
+	assert.Equal(t, http.StatusOK, status)
+}
+
 func TestExpiredTasksAreForgotten(t *testing.T) {
 	u := newUpstream(t, 4)
 	close(u.release)
