Withdrawals and orders are sent again when their way to the holder changes

Cause: an entry that loses its holder withdraws the job. If the direct link is silent and no relay is known yet, the withdrawal goes into the dead link. When another entry then relays, the heartbeats of the entry keep the holder at work, but only what a relay had carried was sent again. 1,262 ms later another holder gets the job. Orders had the same condition: one that was lost with the direct link, while its holder was reached over a relay, was not sent again.

Change: an order or withdrawal keeps its path, and is sent again when another one is known: a relay instead of the direct link, another relay, the direct link again. Without any way it waits. Over a relay it is repeated as before.

Why it works: heartbeats take the same route at the same time, so that the holder hears the withdrawal whenever it hears the entry.

Evidence: TestWithdrawalMovesToRelay failed before in two of three cases ("not sent over the relay"), TestOrderMovesToRelay too; both pass.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -108,20 +108,17 @@
 	evacuatedHolders []string
 	// holderLostAt is when the holder was found to be lost, zero while it is not.
 	holderLostAt time.Time
-	sentAt       time.Time
-	// isRelayed is set if the order was last sent over a third VM.
-	isRelayed     bool
+	// path is that of the latest order.
+	path          path
 	reassignments int
 	done          bool
 }
 
 // withdrawal is a request to a holder to stop a part.
 type withdrawal struct {
-	holder string
-	cancel Cancel
-	// isRelayed is set if it was last sent over a third VM, which may have lost it.
-	isRelayed bool
-	sentAt    time.Time
+	holder    string
+	cancel    Cancel
+	path      path
 	expiresAt time.Time
 }
 
@@ -293,7 +290,7 @@
 	waited := now.Sub(p.job.arrivedAt)
 	o.Remaining = p.job.order.Remaining - waited
 	o.Objective = max(p.job.order.Objective-waited, time.Millisecond)
-	p.sentAt, p.isRelayed = now, f.peers.Route(now, p.holder) != ""
+	p.path = f.pathTo(now, p.holder)
 	f.addSentLoad(p.holder, o.MilliCores())
 	f.recordDecision(holder.Decision{Event: "job-forwarded", Job: o.ID, Request: o.Request, Peer: p.holder, Run: o.Attempt, Wait: waited})
 	f.out.Sends = append(f.out.Sends, Send{To: p.holder, Order: &o})
@@ -486,13 +483,12 @@
 
 func (f *Forwarder) sendWithdrawal(now time.Time, w *withdrawal) {
 	c := w.cancel
-	w.sentAt, w.isRelayed = now, f.peers.Route(now, w.holder) != ""
+	w.path = f.pathTo(now, w.holder)
 	f.out.Sends = append(f.out.Sends, Send{To: w.holder, Cancel: &c})
 }
 
-// resendWithdrawals resends withdrawals that a third VM may have lost. Once the direct
-// link works again they are resent at once, since heartbeats over it keep the holder from
-// abandoning the job by itself.
+// resendWithdrawals resends withdrawals that may have been lost on their way: as long as heartbeats of
+// this VM reach the holder, it does not abandon the job by itself.
 func (f *Forwarder) resendWithdrawals(now time.Time) {
 	remaining := f.withdrawals[:0]
 	for i := range f.withdrawals {
@@ -500,7 +496,7 @@
 		if now.After(w.expiresAt) {
 			continue
 		}
-		if w.isRelayed && (f.peers.IsDirect(now, w.holder) || now.Sub(w.sentAt) >= relayedWithdrawalInterval) {
+		if f.isResendDue(now, w.holder, w.path, relayedWithdrawalInterval) {
 			f.sendWithdrawal(now, &w)
 		}
 		remaining = append(remaining, w)
@@ -585,7 +581,7 @@
 	peer := f.peers.Peer(p.holder)
 	if p.holderLostAt.IsZero() {
 		if peer != nil && f.peers.IsReachable(now, p.holder) && peer.Incarnation == p.holderIncarnation {
-			if p.isRelayed && now.Sub(p.sentAt) >= relayedOrderInterval {
+			if f.isResendDue(now, p.holder, p.path, relayedOrderInterval) {
 				f.sendOrder(now, p)
 			}
 			return
--- a/internal/forwarder/relay_test.go
+++ b/internal/forwarder/relay_test.go
@@ -92,6 +92,80 @@
 	assert.Empty(t, out.Sends, "resent although a direct link reports what it loses")
 }
 
+// forwarderWithDirectHolder returns a forwarder with one job, whose only holder is reached directly.
+func forwarderWithDirectHolder(t *testing.T, now time.Time) (*Forwarder, *tracker.Tracker) {
+	t.Helper()
+	f, peers := forwarderWithRelayedHolder(t, now)
+	peers.HandleHeartbeat(now, holderHeartbeat(), "")
+	f.jobs["j"].parts[0].path = f.pathTo(now, "state")
+	return f, peers
+}
+
+// sendsOverRelay lets heartbeats of the holder arrive over another entry alone, and returns what is
+// sent meanwhile.
+func sendsOverRelay(f *Forwarder, peers *tracker.Tracker, from time.Time, d time.Duration) []Send {
+	var out Effects
+	for at := from; at.Before(from.Add(d)); at = at.Add(20 * time.Millisecond) {
+		peers.HandleHeartbeat(at, tracker.Heartbeat{VM: "other", Incarnation: "1"}, "")
+		peers.HandleHeartbeat(at, holderHeartbeat(), "other")
+		f.Tick(at, &out)
+	}
+	return out.Sends
+}
+
+// TestWithdrawalMovesToRelay guards against two runs of a task at the same time: the holder goes on
+// while the heartbeats of its entry reach it over a relay, and a withdrawal that was sent over the
+// direct link before may be lost with that.
+func TestWithdrawalMovesToRelay(t *testing.T) {
+	now := time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+	t.Run("sent while the direct link seemed to work", func(t *testing.T) {
+		f, peers := forwarderWithDirectHolder(t, now)
+		var out Effects
+		f.RemoveWaiter(now, "j", 1, &out)
+		require.Len(t, out.Sends, 1)
+		sends := sendsOverRelay(f, peers, now.Add(tracker.UnreachableAfter), 2*relayedWithdrawalInterval)
+		require.NotEmpty(t, sends, "not sent over the relay")
+		assert.NotNil(t, sends[0].Cancel)
+	})
+	t.Run("sent when the holder was lost, no relay known", func(t *testing.T) {
+		f, peers := forwarderWithDirectHolder(t, now)
+		lostAt := now.Add(tracker.UnreachableAfter)
+		var out Effects
+		f.Tick(lostAt, &out)
+		require.Len(t, out.Sends, 1)
+		require.NotNil(t, out.Sends[0].Cancel)
+		out = Effects{}
+		f.Tick(lostAt.Add(relayedWithdrawalInterval), &out)
+		assert.Empty(t, out.Sends, "sent again without a way")
+		sends := sendsOverRelay(f, peers, lostAt.Add(relayedWithdrawalInterval), 2*relayedWithdrawalInterval)
+		require.NotEmpty(t, sends, "not sent over the relay")
+		assert.NotNil(t, sends[0].Cancel)
+	})
+	t.Run("the direct link works", func(t *testing.T) {
+		f, peers := forwarderWithDirectHolder(t, now)
+		var out Effects
+		f.RemoveWaiter(now, "j", 1, &out)
+		out = Effects{}
+		for at := now; at.Before(now.Add(time.Second)); at = at.Add(20 * time.Millisecond) {
+			peers.HandleHeartbeat(at, holderHeartbeat(), "")
+			f.Tick(at, &out)
+		}
+		assert.Empty(t, out.Sends, "resent although a direct link reports what it loses")
+	})
+}
+
+// TestOrderMovesToRelay guards against a job that waits until its caller has gone: its holder can be
+// reached over a relay, and its order was lost with the direct link.
+func TestOrderMovesToRelay(t *testing.T) {
+	now := time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+	f, peers := forwarderWithDirectHolder(t, now)
+	peers.HandleHeartbeat(now.Add(tracker.UnreachableAfter-time.Millisecond), holderHeartbeat(), "other")
+	sends := sendsOverRelay(f, peers, now.Add(tracker.UnreachableAfter), 100*time.Millisecond)
+	require.NotEmpty(t, sends, "not sent over the relay")
+	assert.NotNil(t, sends[0].Order)
+	assert.Len(t, sends, 1, "sent more often than orders over a relay are")
+}
+
 // TestReassignmentWaitsForLeases checks that a part is reassigned only after the time in
 // which runs may go on (holder.Timing.MaxRunAfterLoss), counted from when the loss was found: until
 // then the holder may have received this VM's heartbeats, although this VM did not receive
