--- a/internal/decoder/upstream.go
+++ b/internal/decoder/upstream.go
@@ -60,7 +60,7 @@
 		return u, err
 	}
 	if !validator.IsStartTime(now, u.MemorySince) {
-		return u, &FieldError{"started-at", "must be a time since 1970 that is not in the future"}
+		return u, &FieldError{"started-at", "must be a time since 1970, at most a day ahead"}
 	}
 	return u, completeUpstream(u, capabilities)
 }
