--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"bronzedrift.example/bronzedrift/internal/holder"
@@ -26,6 +27,10 @@
 	// kind of job and origin. They stay empty while the policy is off.
 	reserved, idle, late *prometheus.GaugeVec
 	shares               *prometheus.GaugeVec
+	// replica has the figures of the replicated log on a state VM, by name.
+	replica *prometheus.GaugeVec
+	// unanswered counts reads and changes of the configuration without an answer in time.
+	unanswered *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds and double from 5 ms to 10 s; job objectives are 0.1 to 2 s.
@@ -60,12 +65,19 @@
 		late: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "bronzedrift_late_reservations", Help: "Reservations whose time had passed when the next round began, by size class.",
 		}, []string{"millicores_up_to"}),
+		replica: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "bronzedrift_replica", Help: "Figures of the replicated log on this state VM.",
+		}, []string{"figure"}),
+		unanswered: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bronzedrift_configuration_unanswered_total", Help: "Requests for the configuration without an answer in time, by kind.",
+		}, []string{"kind"}),
 		shares: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "bronzedrift_share_cores", Help: "Share of the capacity of a kind of job and an origin, in core-seconds per second.",
 		}, []string{"kind", "origin"}),
 	}
 	m.registry.MustRegister(m.reserved, m.idle, m.late, m.shares)
 	m.registry.MustRegister(m.decisions, m.answers, m.starts, m.evacuated, m.evacuationRuns)
+	m.registry.MustRegister(m.replica, m.unanswered, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
@@ -84,8 +96,28 @@
 	return promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{})
 }
 
+// updateReplicaGauges sets the gauges of the replicated log.
+func (d *Conductor) updateReplicaGauges(now time.Time) {
+	c, ok := d.keeper.Condition()
+	if !ok {
+		return
+	}
+	refusedFor := 0.0
+	if !c.DiskRefusedSince.IsZero() {
+		refusedFor = now.Sub(c.DiskRefusedSince).Seconds()
+	}
+	for figure, value := range map[string]float64{
+		"log-bytes": float64(c.LogBytes), "log-entries": float64(c.LogEntries), "snapshot-bytes": float64(c.SnapshotBytes),
+		"term": float64(c.Term), "commit-index": float64(c.Commit), "voters": float64(c.Voters), "reachable-voters": float64(c.ReachableVoters),
+		"disk-refused-seconds": refusedFor, "idle-age-seconds": now.Sub(c.At).Seconds(),
+	} {
+		d.metrics.replica.WithLabelValues(figure).Set(value)
+	}
+}
+
 // updateGauges sets the gauges that are not counted at the event itself.
 func (d *Conductor) updateGauges(now time.Time) {
+	d.updateReplicaGauges(now)
 	for _, e := range d.keeper.Evacuations().Evacuations {
 		isActive := 0.0
 		if e.Active {
--- a/internal/conductor/requests.go
+++ b/internal/conductor/requests.go
@@ -9,6 +9,7 @@
 	"bronzedrift.example/bronzedrift/internal/configurer"
 	"bronzedrift.example/bronzedrift/internal/forwarder"
 	"bronzedrift.example/bronzedrift/internal/holder"
+	"bronzedrift.example/bronzedrift/internal/keeper"
 )
 
 // ErrStopped is returned when the Conductor has stopped.
@@ -114,14 +115,24 @@
 // stored one is acknowledged without a change.
 func (d *Conductor) Configure(ctx context.Context, c configurer.Change) error {
 	_, err := d.keeper.Change(ctx, c)
+	if err != nil {
+		d.metrics.unanswered.WithLabelValues("change").Inc()
+	}
 	return err
 }
 
 // Configuration returns the newest configuration confirmed by a quorum.
 func (d *Conductor) Configuration(ctx context.Context) (configurer.Configuration, error) {
-	return d.keeper.ReadCurrent(ctx)
+	c, err := d.keeper.ReadCurrent(ctx)
+	if err != nil {
+		d.metrics.unanswered.WithLabelValues("read").Inc()
+	}
+	return c, err
 }
 
+// ReplicaCondition returns the condition of this VM's replica, and false on an entry.
+func (d *Conductor) ReplicaCondition() (keeper.Condition, bool) { return d.keeper.Condition() }
+
 func (d *Conductor) apply(c configurer.Configuration) {
 	d.handlers.Apply(c)
 	d.version.Store(c.Version)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -89,6 +89,8 @@
 	// evacuations is the set in force. It is never replaced by one of a lower revision.
 	evacuations       atomic.Pointer[configurer.EvacuationSet]
 	evacuationFetcher fetcher
+	condition         atomic.Pointer[Condition]
+	diskRefusedSince  atomic.Pointer[time.Time]
 }
 
 // input is one event for the Keeper's goroutine: a message and its sender, a newly
@@ -228,6 +230,7 @@
 	k.maintainVoters(k.config.Now())
 	k.fetchNext(k.config.Now())
 	k.fetchNextEvacuations(k.config.Now())
+	k.publishCondition(k.config.Now())
 }
 
 // runGuarded runs f. If it panics, the replica may be in an inconsistent state and starts
@@ -400,8 +403,13 @@
 	for failures := 0; ; failures++ {
 		err := write()
 		if err == nil {
+			k.noteRefusedWrite(nil)
 			return
 		}
+		if failures == 0 {
+			now := k.config.Now()
+			k.noteRefusedWrite(&now)
+		}
 		if failures%failuresPerDiskReport == 0 {
 			k.handlers.Event(recorder.Event{Number: recorder.DiskRefused, Text: err.Error(), Task: recorder.NoTask})
 		}
--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -128,6 +128,21 @@
 	}
 }
 
+// ReachableVoters returns how many voters a leader reaches, itself included, and zero on
+// other replicas.
+func (r *Replicator) ReachableVoters(now time.Time) int {
+	if r.role != Leader {
+		return 0
+	}
+	reachable := 0
+	for _, m := range r.members {
+		if m.Voter && r.isReachable(now, m.ID) {
+			reachable++
+		}
+	}
+	return reachable
+}
+
 func (r *Replicator) sinceContact(now time.Time, id string) time.Duration {
 	p := r.progress[id]
 	if p == nil {
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -75,6 +75,9 @@
 // TruncatedBytes returns the size in bytes of a torn record that Open truncated.
 func (s *Storer) TruncatedBytes() int64 { return s.truncatedBytes }
 
+// LogBytes returns the size in bytes of the log since the latest snapshot.
+func (s *Storer) LogBytes() int64 { return s.segmentSize }
+
 // Identity returns the identity of this disk. If it has none yet, create makes one,
 // which is saved.
 func (s *Storer) Identity(create func() string) (string, error) {
