An error of Accept no longer ends the inner listener

What follows from it: the VM receives no message of any other for as long as its process runs, so that a state VM can neither vote nor answer a read. Cause: Serve took the first error of Accept for the end and closed the listener. A kernel returns there what concerns one connection (aborted, network unreachable) or the moment (no descriptors). Found by reading; nothing of the users' record shows it.

Change: only the end of the context or of the listener ends Serve. Other errors are reported as accept-failed (205), and Accept is called again after 5 ms to 1 s.

TestAcceptErrorsKeepTheListener failed in all three cases before (Condition never satisfied within 5 s) and passes with -race -count=5. In the failing run the last case took 134 s to end instead of 5 s; that was not traced.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -72,6 +72,14 @@
 	ErrProtocolVersion = errors.New("messenger: the peer speaks another version")
 )
 
+// After an error of Accept, which may concern one connection or descriptors that have run out,
+// the next attempt follows after minAcceptDelay, doubled up to maxAcceptDelay by further errors.
+const (
+	minAcceptDelay     = 5 * time.Millisecond
+	maxAcceptDelay     = time.Second
+	maxAcceptDoublings = 8
+)
+
 // protocolVersion is the version of the inner protocol.
 const protocolVersion = 1
 
@@ -188,14 +196,29 @@
 	m.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { m.close() })
 	defer stop()
-	for {
+	for failures := 0; ; {
 		conn, err := m.listener.Accept()
-		if err != nil {
+		switch {
+		case err == nil:
+			failures = 0
+			m.goroutines.Go(func() { m.receive(ctx, conn) })
+		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
 			m.close()
 			m.goroutines.Wait()
 			return ctx.Err()
+		default:
+			m.handlers.Event(recorder.Event{Number: recorder.AcceptFailed, Text: err.Error(), Task: recorder.NoTask})
+			sleep(ctx, min(minAcceptDelay<<failures, maxAcceptDelay))
+			failures = min(failures+1, maxAcceptDoublings)
 		}
-		m.goroutines.Go(func() { m.receive(ctx, conn) })
+	}
+}
+
+// sleep waits for a time, or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -60,7 +60,8 @@
 	stop     context.CancelFunc
 }
 
-func newTestNode(t *testing.T, vm, secret string, listen netip.AddrPort, peers []Peer) *testNode {
+// newTestNode starts the messenger of a VM, after it was changed by configure.
+func newTestNode(t *testing.T, vm, secret string, listen netip.AddrPort, peers []Peer, configure ...func(*Messenger)) *testNode {
 	t.Helper()
 	n := &testNode{received: make(chan dispatcher.Message, 100), up: make(chan string, 10), lost: make(chan string, 10)}
 	m, err := New(Config{VM: vm, Listen: listen, Peers: peers, Secret: secret, QueueLength: 100}, Handlers{
@@ -74,6 +75,9 @@
 	})
 	require.NoError(t, err)
 	n.Messenger = m
+	for _, change := range configure {
+		change(m)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
