Keeper: compact the log by bytes

Cause: the log was compacted after 1,000 entries whatever their size. 128 MB of disk were full at once on all voters, and the write that can't succeed blocks the goroutine that compacts.

If none of it is committed, the segment is written anew without the replaced entries. The bound, four times the largest configuration and what is not committed, is stated at minCompactionBytes.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -115,7 +115,14 @@
 	inputQueueLength     = 1024
 	tickInterval         = 25 * time.Millisecond
 	requestRetryInterval = 300 * time.Millisecond
+	// The log is compacted after entriesPerCompaction entries, or once it has grown by
+	// minCompactionBytes and by the size of the last snapshot.
+	//
+	// With configurations of up to c bytes, above minCompactionBytes, a snapshot has about c
+	// bytes, and the log grows to less than 2c before it is compacted. The disk then holds two
+	// snapshots and the log: 4c, and the entries that were not committed at the last compaction.
 	entriesPerCompaction = 1000
+	minCompactionBytes   = 8 << 20
 	// diskRetryInterval is the pause before a failed write is retried. One in
 	// failuresPerDiskReport failures is reported, about once a second.
 	diskRetryInterval     = 100 * time.Millisecond
@@ -460,17 +467,32 @@
 	}
 }
 
-// compactIfDue replaces the applied entries by a snapshot once enough were applied.
+// compactIfDue replaces the applied entries by a snapshot once enough were applied, or the
+// log has grown by enough bytes.
 func (k *Keeper) compactIfDue() {
-	if k.appliedSinceCompaction < entriesPerCompaction {
+	if k.appliedSinceCompaction < entriesPerCompaction && k.store.GrowthBytes() < k.compactionBytes() {
 		return
 	}
 	k.appliedSinceCompaction = 0
-	state, err := k.stateMachine.Snapshot()
-	if err != nil {
-		panic(err)
-	}
 	var out replicator.Effects
-	k.replica.Compact(state, &out)
+	if k.snapshot != nil && k.replica.Status().Applied == k.snapshot.Index {
+		// All entries of the log are uncommitted. The segment is written anew without those
+		// that others have replaced.
+		out.Snapshot = k.snapshot
+	} else {
+		state, err := k.stateMachine.Snapshot()
+		if err != nil {
+			panic(err)
+		}
+		k.replica.Compact(state, &out)
+	}
 	k.executeEffects(&out)
 }
+
+// compactionBytes is the growth of the log in bytes after which it is compacted.
+func (k *Keeper) compactionBytes() int64 {
+	if k.snapshot == nil {
+		return minCompactionBytes
+	}
+	return max(minCompactionBytes, int64(len(k.snapshot.State)))
+}
--- a/internal/keeper/size_test.go
+++ b/internal/keeper/size_test.go
@@ -19,6 +19,8 @@
 	"github.com/stretchr/testify/require"
 
 	"bronzedrift.example/bronzedrift/internal/configurer"
+	"bronzedrift.example/bronzedrift/internal/messenger/wire"
+	"bronzedrift.example/bronzedrift/internal/replicator"
 	"bronzedrift.example/bronzedrift/internal/storer"
 )
 
@@ -197,6 +199,55 @@
 	}
 }
 
+// logBytes returns the payload of the entries that a replica holds in memory.
+func (c *testCluster) logBytes(vm string) int {
+	k, result := c.keeper(vm), make(chan int, 1)
+	k.enqueue(input{run: func(time.Time) {
+		total := 0
+		for _, e := range k.replica.EntriesAfter(0) {
+			total += len(e.Payload)
+		}
+		result <- total
+	}})
+	select {
+	case total := <-result:
+		return total
+	case <-time.After(settleTime):
+		require.Fail(c.t, "the Keeper is blocked", vm)
+		return 0
+	}
+}
+
+// Large changes must not fill the disks of the state VMs: no change is acknowledged and no
+// read answered once they are full.
+func TestLargeChangesFitOnDisk(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		changes, size int
+	}{
+		{"many of 2,700 routes", 300, largeTextBytes},
+		{"some of the largest size", 12, maxTextBytes},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inServiceCluster(t, serviceDiskBytes, func(t *testing.T, c *testCluster, disks map[string]*limitedDisk) {
+				peak := 0
+				for i := range test.changes {
+					c.change(c.states[i%len(c.states)], versioned(i+1, test.size))
+					for _, vm := range c.states {
+						peak = max(peak, c.logBytes(vm))
+					}
+				}
+				c.assertRead(test.changes, test.size)
+				assert.LessOrEqual(t, peak, 3*maxTextBytes, "bytes of the log in memory")
+				for _, vm := range c.states {
+					t.Logf("%s: peak on disk %d bytes, in memory %d bytes", vm, disks[vm].peak, peak)
+					assert.Less(t, disks[vm].peak, serviceDiskBytes, vm)
+				}
+			})
+		})
+	}
+}
+
 // The state VMs must have the last acknowledged version after they were all killed at once,
 // and a disk that was refusing writes must be written again.
 func TestLargeChangesAfterFaults(t *testing.T) {
@@ -255,3 +306,22 @@
 		})
 	})
 }
+
+// Entries that leaders of later terms replace before they are committed must not fill the disk
+// of a follower.
+func TestReplacedEntriesFitOnDisk(t *testing.T) {
+	d := newLimitedDisk(serviceDiskBytes)
+	f := openFollower(t, d.disk())
+	payload, err := configurer.EncodeChange(versioned(1, largeTextBytes))
+	require.NoError(t, err)
+	for term := uint64(2); term < 100; term++ {
+		f.handle(input{from: "b", message: &wire.StateMessage{Log: encodeMessage(&replicator.Message{
+			Kind: replicator.Append, From: "b#founder", FromVM: "b", To: f.identity, Term: term,
+			Index: firstIndex - 1, LogTerm: 1, Entries: []replicator.Entry{{Index: firstIndex, Term: term, Payload: payload}}, Commit: 1,
+		})}})
+	}
+	assert.Less(t, d.peak, 2*minCompactionBytes)
+	restarted := openFollower(t, d.disk())
+	assert.EqualValues(t, firstIndex, restarted.replica.LastIndex())
+	assert.EqualValues(t, 99, restarted.replica.Status().Term)
+}
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -13,9 +13,11 @@
 
 // Storer persists a replica's hard state, log and snapshots.
 type Storer struct {
-	disk           *Disk
-	segment        string
-	segmentSize    int64
+	disk        *Disk
+	segment     string
+	segmentSize int64
+	// carriedBytes is the part of the segment that was written with the last snapshot.
+	carriedBytes   int64
 	snapshotIndex  uint64
 	hardState      replicator.HardState
 	truncatedBytes int64
@@ -47,7 +49,7 @@
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 // Open reads a data folder and returns its saved state. A torn record at the end of
-// the log is truncated.
+// the log is truncated, and files that an interrupted SaveSnapshot has left are removed.
 func Open(disk *Disk) (*Storer, replicator.Saved, error) {
 	s := &Storer{disk: disk}
 	var saved replicator.Saved
@@ -69,9 +71,21 @@
 	if len(segments) > 0 {
 		s.segment = segments[len(segments)-1]
 	}
+	for _, name := range names {
+		if strings.HasSuffix(name, temporarySuffix) && (strings.HasPrefix(name, segmentPrefix) || strings.HasPrefix(name, snapshotPrefix)) {
+			err = errors.Join(err, s.disk.Remove(name))
+		}
+	}
+	if err := errors.Join(err, s.removeObsolete()); err != nil {
+		return nil, saved, fmt.Errorf("storer: removing old files: %w", err)
+	}
 	return s, saved, nil
 }
 
+// GrowthBytes returns the size in bytes of what was appended to the log since the last
+// snapshot. It includes entries that were replaced by others.
+func (s *Storer) GrowthBytes() int64 { return s.segmentSize - s.carriedBytes }
+
 // TruncatedBytes returns the size in bytes of a torn record that Open truncated.
 func (s *Storer) TruncatedBytes() int64 { return s.truncatedBytes }
 
@@ -152,13 +166,20 @@
 }
 
 // SaveSnapshot writes a snapshot and starts a new segment with the entries following
-// it. Older files are removed once both are synced.
+// it. Older files are removed once what replaces them is synced, so that the disk holds at
+// most two snapshots and one segment, or one snapshot and two segments. A SaveSnapshot that
+// failed can be retried: it resumes after the snapshot if that is synced.
 func (s *Storer) SaveSnapshot(snapshot *replicator.Snapshot, following []replicator.Entry) error {
-	record := appendRecord(nil, encodeSnapshot(snapshot))
-	if err := s.writeAtomically(snapshotName(snapshot.Index), record); err != nil {
+	if snapshot.Index != s.snapshotIndex {
+		record := appendRecord(nil, encodeSnapshot(snapshot))
+		if err := s.writeAtomically(snapshotName(snapshot.Index), record); err != nil {
+			return err
+		}
+		s.snapshotIndex = snapshot.Index
+	}
+	if err := s.removeObsolete(); err != nil {
 		return err
 	}
-	s.snapshotIndex = snapshot.Index
 	data := appendRecord(nil, encodeHard(&s.hardState))
 	for i := range following {
 		data = appendRecord(data, encodeEntry(&following[i]))
@@ -167,11 +188,12 @@
 	if err := s.writeAtomically(name, data); err != nil {
 		return err
 	}
-	s.segment, s.segmentSize = name, int64(len(data))
+	s.segment, s.segmentSize, s.carriedBytes, s.appendPending = name, int64(len(data)), int64(len(data)), false
 	return s.removeObsolete()
 }
 
-// writeAtomically writes a file under a temporary name, syncs it and renames it.
+// writeAtomically writes a file under a temporary name, syncs it and renames it. If that
+// fails, the temporary file is removed, since others may need the room.
 func (s *Storer) writeAtomically(name string, data []byte) error {
 	temporary := name + temporarySuffix
 	_ = s.disk.Remove(temporary)
@@ -183,12 +205,14 @@
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
+			_ = s.disk.Remove(temporary)
 			return fmt.Errorf("storer: writing %s: %w", name, err)
 		}
 	}
 	return nil
 }
 
+// removeObsolete removes the files that the newest snapshot and segment replace.
 func (s *Storer) removeObsolete() error {
 	names, err := s.disk.List()
 	if err != nil {
--- a/internal/storer/storer_test.go
+++ b/internal/storer/storer_test.go
@@ -1,9 +1,11 @@
 package storer
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -152,3 +154,75 @@
 		}
 	}
 }
+
+// failingDisk is a folder's disk on which one of the appends fails after half of its data was
+// written, counted from one.
+func failingDisk(t *testing.T, folder string, failing int) *Disk {
+	t.Helper()
+	disk, err := NewFolderDisk(folder)
+	require.NoError(t, err)
+	write, count := disk.Append, 0
+	disk.Append = func(name string, data []byte) error {
+		count++
+		if count == failing {
+			return errors.Join(write(name, data[:len(data)/2]), syscall.ENOSPC)
+		}
+		return write(name, data)
+	}
+	return disk
+}
+
+func assertFiles(t *testing.T, folder string, names ...string) {
+	t.Helper()
+	files, err := listFiles(folder)
+	require.NoError(t, err)
+	assert.Equal(t, names, files)
+}
+
+// A snapshot that could not be written must not take the room that its retry or the log needs,
+// and must leave a state that can be opened.
+func TestSaveSnapshotOnFullDisk(t *testing.T) {
+	snapshot := &replicator.Snapshot{Index: 4, Term: 1, Members: []replicator.Member{{ID: "i", VM: "v", Voter: true}}, State: []byte("state")}
+	for _, test := range []struct {
+		name    string
+		failing int
+		left    string
+	}{
+		{"the snapshot does not fit", 1, snapshotName(2)},
+		{"the segment does not fit", 2, snapshotName(4)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			folder := newFilledFolder(t)
+			s, _, err := openFolder(t, folder)
+			require.NoError(t, err)
+			former := *snapshot
+			former.Index = 2
+			require.NoError(t, s.SaveSnapshot(&former, entries(3, 5)))
+			s, _, err = Open(failingDisk(t, folder, test.failing))
+			require.NoError(t, err)
+			require.ErrorIs(t, s.SaveSnapshot(snapshot, entries(5, 5)), syscall.ENOSPC)
+			assertFiles(t, folder, segmentName(2), test.left)
+			_, saved, err := openFolder(t, folder)
+			require.NoError(t, err)
+			assert.Equal(t, uint64(5), saved.Entries[len(saved.Entries)-1].Index)
+			require.NoError(t, s.SaveSnapshot(snapshot, entries(5, 5)))
+			assertFiles(t, folder, segmentName(4), snapshotName(4))
+		})
+	}
+}
+
+// What an interrupted SaveSnapshot has left must not take room after a restart.
+func TestOpenRemovesLeftovers(t *testing.T) {
+	folder := newFilledFolder(t)
+	s, _, err := openFolder(t, folder)
+	require.NoError(t, err)
+	snapshot := &replicator.Snapshot{Index: 5, Term: 1, Members: []replicator.Member{{ID: "i", VM: "v", Voter: true}}, State: []byte("state")}
+	require.NoError(t, s.SaveSnapshot(snapshot, nil))
+	for _, name := range []string{segmentName(3), snapshotName(6) + temporarySuffix, segmentName(6) + temporarySuffix} {
+		require.NoError(t, os.WriteFile(filepath.Join(folder, name), nil, fileMode))
+	}
+	_, saved, err := openFolder(t, folder)
+	require.NoError(t, err)
+	assert.Equal(t, snapshot, saved.Snapshot)
+	assertFiles(t, folder, segmentName(5), snapshotName(5))
+}
