Keeper: bound the queued messages by bytes

While its disk refuses writes, a state VM collected up to 1,024 messages of other VMs, of megabytes each, and the next one blocked the reader of the link, which delivers the heartbeats as well.

Cause: the queue of the Keeper's goroutine is bounded by count, and the readers of the links wait for room in it.

Evidence, before: TestQueuedMessagesStayBounded " is not less than or equal to" bytes for 300 messages of 1 MiB; with 2,048 small ones "the reader of a link is blocked".

At most 32 MiB of messages wait now, or a single larger one. Others are dropped, since their senders repeat them, and counted: event `input-dropped` (708), at most one a second; DroppedInputs and QueuedBytes for metrics. Pushes of a configuration or of evacuations to a VM without a replica, and the greeting of a new peer, are not repeated in each engine: of these the newest, and each peer once, are kept beside the queue until the next tick.

Requests of this VM still wait for room in the queue without regard to their deadline (request.go).

After: the test passes, also with -race.

--- a/internal/keeper/evacuation.go
+++ b/internal/keeper/evacuation.go
@@ -86,9 +86,10 @@
 func (k *Keeper) Evacuations() configurer.EvacuationSet { return *k.evacuations.Load() }
 
 // RequestNewerEvacuations asks a VM for its evacuations, which have a higher revision than
-// this VM's. It waits for the push of the leader and the answer of another VM first.
+// this VM's. It waits for the push of the leader and the answer of another VM first. It is
+// called again at the next heartbeat.
 func (k *Keeper) RequestNewerEvacuations(vm string, revision uint64) {
-	k.enqueue(input{run: func(now time.Time) {
+	k.offer(input{run: func(now time.Time) {
 		k.evacuationFetcher.add(now, vm, revision, k.Evacuations().Revision)
 		k.fetchNextEvacuations(now)
 	}})
--- a/internal/keeper/fetch.go
+++ b/internal/keeper/fetch.go
@@ -73,9 +73,10 @@
 func (f *fetcher) answered() { f.asked = "" }
 
 // RequestNewerVersion asks a VM for its active version, which is higher than this VM's. It
-// waits for the push of the leader and the answer of another VM first.
+// waits for the push of the leader and the answer of another VM first. It is called again at
+// the next heartbeat.
 func (k *Keeper) RequestNewerVersion(vm string, version uint64) {
-	k.enqueue(input{run: func(now time.Time) {
+	k.offer(input{run: func(now time.Time) {
 		k.fetcher.add(now, vm, version, k.active.Version)
 		k.fetchNext(now)
 	}})
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -71,6 +71,8 @@
 	config                 Config
 	handlers               Handlers
 	inputs                 chan input
+	load                   queueLoad
+	overflow               overflow
 	done                   chan struct{}
 	store                  *storer.Storer
 	replica                *replicator.Replicator
@@ -93,15 +95,6 @@
 	diskRefusedSince  atomic.Pointer[time.Time]
 }
 
-// input is one event for the Keeper's goroutine: a message and its sender, a newly
-// connected peer, or a function to run.
-type input struct {
-	from          string
-	message       *wire.StateMessage
-	connectedPeer string
-	run           func(now time.Time)
-}
-
 // call is a request that this replica must answer as the leader. index is the entry
 // whose commit completes a removal, and zero for other requests. term is that of the
 // proposal.
@@ -224,6 +217,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case in := <-k.inputs:
+			k.load.bytes.Add(-in.size)
 			k.runGuarded(func() { k.handle(in) })
 		case <-ticker.C:
 			k.runGuarded(k.tick)
@@ -232,12 +226,16 @@
 }
 
 func (k *Keeper) tick() {
+	for _, in := range k.overflow.take() {
+		k.handle(in)
+	}
 	k.stepReplica(func(now time.Time, out *replicator.Effects) { k.replica.Tick(now, out) })
 	k.announceIfNotMember(k.config.Now())
 	k.maintainVoters(k.config.Now())
 	k.fetchNext(k.config.Now())
 	k.fetchNextEvacuations(k.config.Now())
 	k.publishCondition(k.config.Now())
+	k.reportDrops(k.config.Now())
 }
 
 // runGuarded runs f. If it panics, the replica may be in an inconsistent state and starts
@@ -258,24 +256,6 @@
 	}
 }
 
-// Receive queues a message from another VM.
-func (k *Keeper) Receive(from string, m *wire.StateMessage) {
-	k.enqueue(input{from: from, message: m})
-}
-
-// PeerUp sends the active version, the evacuations and this disk's identity to a VM that
-// has just connected.
-func (k *Keeper) PeerUp(vm string) {
-	k.enqueue(input{connectedPeer: vm})
-}
-
-func (k *Keeper) enqueue(in input) {
-	select {
-	case k.inputs <- in:
-	case <-k.done:
-	}
-}
-
 func (k *Keeper) handle(in input) {
 	now := k.config.Now()
 	switch {
@@ -420,6 +400,7 @@
 		if failures%failuresPerDiskReport == 0 {
 			k.handlers.Event(recorder.Event{Number: recorder.DiskRefused, Text: err.Error(), Task: recorder.NoTask})
 		}
+		k.reportDrops(k.config.Now())
 		time.Sleep(diskRetryInterval)
 	}
 }
--- a/internal/keeper/size_test.go
+++ b/internal/keeper/size_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"bronzedrift.example/bronzedrift/internal/configurer"
 	"bronzedrift.example/bronzedrift/internal/messenger/wire"
@@ -325,3 +326,70 @@
 	assert.EqualValues(t, firstIndex, restarted.replica.LastIndex())
 	assert.EqualValues(t, 99, restarted.replica.Status().Term)
 }
+
+// While a disk blocks the Keeper, messages of other VMs must neither fill the memory nor block
+// the reader of a link, which delivers the heartbeats as well.
+func TestQueuedMessagesStayBounded(t *testing.T) {
+	const newest = 1_000_000
+	for _, test := range []struct {
+		name           string
+		messages, size int
+	}{
+		{"large messages", 300, 1 << 20},
+		{"more messages than the queue holds", 2 * inputQueueLength, 10},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := openFollower(t, newMemoryDisk())
+				greeted := 0
+				f.handlers.Send = func(_ string, m *wire.StateMessage) {
+					if m.GetAnnounceMember() != "" {
+						greeted++
+					}
+				}
+				go func() {
+					for i := range test.messages {
+						f.Receive("b", &wire.StateMessage{Log: encodeMessage(&replicator.Message{
+							Kind: replicator.Append, From: "b#founder", FromVM: "b", To: f.identity, Term: 1, Index: firstIndex - 1, LogTerm: 1,
+							Entries: []replicator.Entry{{Index: firstIndex, Term: 1, Payload: textOf(i, test.size)}},
+						})})
+					}
+					f.Receive("b", &wire.StateMessage{Configuration: &wire.Configuration{Version: newest, Text: textOf(0, test.size)}})
+					f.PeerUp("b")
+					f.RequestNewerVersion("b", 1)
+					f.RequestNewerEvacuations("b", 1)
+					close(f.done)
+				}()
+				time.Sleep(time.Second)
+				isDone := false
+				select {
+				case <-f.done:
+					isDone = true
+				default:
+				}
+				assert.True(t, isDone, "the reader of a link is blocked")
+				queued := 0
+				for len(f.inputs) > 0 {
+					in := <-f.inputs
+					if in.message != nil {
+						queued += proto.Size(in.message)
+					} else {
+						f.handle(in)
+					}
+				}
+				assert.LessOrEqual(t, queued, 2*maxTextBytes, "bytes of queued messages")
+				for !isDone {
+					select {
+					case <-f.inputs:
+					case <-f.done:
+						isDone = true
+					}
+				}
+				f.Keeper.tick()
+				assert.EqualValues(t, newest, f.active.Version, "the newest version was dropped")
+				assert.Equal(t, 1, greeted, "a new peer was not greeted")
+				assert.Positive(t, f.DroppedInputs())
+			})
+		})
+	}
+}
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -56,6 +56,7 @@
 	ConfigurationChange: {"configuration-change", true, false},
 	DiskRefused:         {"disk-refused", true, true},
 	EvacuationChanged:   {"evacuation-changed", true, false},
+	InputDropped:        {"input-dropped", true, true},
 }
 
 // Name returns the name of the event in kebab case.
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -55,6 +55,7 @@
 	ConfigurationChange EventNumber = 705
 	DiskRefused         EventNumber = 706
 	EvacuationChanged   EventNumber = 707
+	InputDropped        EventNumber = 708
 )
 
 // Event is one recorded occurrence of a kind of event.
