Configurer: bound the history by bytes

The history is now bounded by 8 MiB as well, oldest first; the newest version is kept whatever its size.

Texts that were removed are no longer held by the slice.

--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -7,6 +7,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -47,8 +48,12 @@
 	Text    []byte
 }
 
-// maxHistory is the number of versions kept for display.
-const maxHistory = 100
+// maxHistory is the number of versions kept for display, and maxHistoryBytes the size of their
+// texts. The newest version is kept whatever its size.
+const (
+	maxHistory      = 100
+	maxHistoryBytes = 8 << 20
+)
 
 // Configurer holds the configuration, its history and the outcomes of changes. It is
 // not safe for concurrent use.
@@ -89,10 +94,7 @@
 	o := Outcome{ID: ch.ID, Kind: Conflict, Version: c.current.Version}
 	if ch.BaseVersion == c.current.Version {
 		c.current = Configuration{Version: c.current.Version + 1, Text: ch.Text}
-		c.history = append(c.history, c.current)
-		if len(c.history) > maxHistory {
-			c.history = c.history[1:]
-		}
+		c.history = trimHistory(append(c.history, c.current))
 		o.Kind, o.Version = Accepted, c.current.Version
 	}
 	c.outcomes[ch.ID] = o
@@ -100,6 +102,21 @@
 	return o
 }
 
+// trimHistory removes the oldest versions beyond the limits. Its result depends on the sequence
+// of the versions alone, so that replicas that applied all of them and replicas that restored
+// a snapshot, also one of a build with higher limits, have the same history.
+func trimHistory(history []Configuration) []Configuration {
+	kept, bytes := 0, 0
+	for i := len(history) - 1; i >= 0 && kept < maxHistory; i-- {
+		bytes += len(history[i].Text)
+		if kept > 0 && bytes > maxHistoryBytes {
+			break
+		}
+		kept++
+	}
+	return slices.Delete(history, 0, len(history)-kept)
+}
+
 // applyVersioned applies a change whose version the operator numbered. It records no
 // outcome, since a repeated change has no effect: it is acknowledged as Superseded, by its
 // first occurrence or by a higher version.
@@ -165,6 +182,7 @@
 	for _, h := range w.GetHistory() {
 		c.history = append(c.history, decodeConfiguration(h))
 	}
+	c.history = trimHistory(c.history)
 	return c.evacuations.restore(w)
 }
 
