--- a/internal/keeper/size_test.go
+++ b/internal/keeper/size_test.go
@@ -32,8 +32,8 @@
 	largeTextBytes = 512 << 10
 	// maxTextBytes is the size of the largest configuration that operators may send.
 	maxTextBytes = 16 << 20
-	// changeTime is the time within which a large change must be acknowledged.
-	changeTime = 2 * time.Second
+	// largeChangeTime is the time within which a large change must be acknowledged.
+	largeChangeTime = 2 * time.Second
 )
 
 // limitedDisk is a disk in memory that holds at most limit bytes. An append that does not
@@ -166,18 +166,18 @@
 	})
 }
 
-// change submits a change at a VM, which must be accepted within changeTime.
-func (c *testCluster) change(vm string, ch configurer.Change) {
+// mustChangeLarge submits a change at a VM, which must be accepted within largeChangeTime.
+func (c *testCluster) mustChangeLarge(vm string, ch configurer.Change) {
 	c.t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), changeTime)
+	ctx, cancel := context.WithTimeout(context.Background(), largeChangeTime)
 	defer cancel()
 	o, err := c.keeper(vm).Change(ctx, ch)
 	require.NoError(c.t, err, "%s at %s", ch.ID, vm)
 	require.Equal(c.t, configurer.Accepted, o.Kind, "%s at %s", ch.ID, vm)
 }
 
-// versioned returns a change that the operator numbered, as the platform submits it.
-func versioned(version, size int) configurer.Change {
+// largeChange returns a change that the operator numbered, as the platform submits it.
+func largeChange(version, size int) configurer.Change {
 	return configurer.Change{ID: fmt.Sprint("version-", version), Version: uint64(version), Text: textOf(version, size)}
 }
 
@@ -190,7 +190,7 @@
 	c.t.Helper()
 	time.Sleep(settleTime)
 	for _, vm := range c.states {
-		ctx, cancel := context.WithTimeout(context.Background(), changeTime)
+		ctx, cancel := context.WithTimeout(context.Background(), largeChangeTime)
 		current, err := c.keeper(vm).ReadCurrent(ctx)
 		cancel()
 		if assert.NoError(c.t, err, vm) {
@@ -233,7 +233,7 @@
 			inServiceCluster(t, serviceDiskBytes, func(t *testing.T, c *testCluster, disks map[string]*limitedDisk) {
 				peak := 0
 				for i := range test.changes {
-					c.change(c.states[i%len(c.states)], versioned(i+1, test.size))
+					c.mustChangeLarge(c.states[i%len(c.states)], largeChange(i+1, test.size))
 					for _, vm := range c.states {
 						peak = max(peak, c.logBytes(vm))
 					}
@@ -255,7 +255,7 @@
 	t.Run("all killed at once", func(t *testing.T) {
 		inServiceCluster(t, serviceDiskBytes, func(_ *testing.T, c *testCluster, _ map[string]*limitedDisk) {
 			for i := range 120 {
-				c.change(c.states[i%len(c.states)], versioned(i+1, largeTextBytes))
+				c.mustChangeLarge(c.states[i%len(c.states)], largeChange(i+1, largeTextBytes))
 				if i%17 == 16 {
 					c.stopAll()
 					for _, vm := range c.states {
@@ -275,7 +275,7 @@
 					disks[vm].setRefusing(true)
 					time.Sleep(settleTime)
 				}
-				c.change(c.states[(i+1)%len(c.states)], versioned(i+1, largeTextBytes))
+				c.mustChangeLarge(c.states[(i+1)%len(c.states)], largeChange(i+1, largeTextBytes))
 				if i%10 == 5 {
 					disks[vm].setRefusing(false)
 					time.Sleep(settleTime)
@@ -291,7 +291,7 @@
 				if i%10 == 5 {
 					disks[vm].setFree(largeTextBytes / 2)
 				}
-				c.change(c.states[(i+1)%len(c.states)], versioned(i+1, largeTextBytes))
+				c.mustChangeLarge(c.states[(i+1)%len(c.states)], largeChange(i+1, largeTextBytes))
 				if i%10 == 5 {
 					time.Sleep(settleTime)
 					disks[vm].setLimit(serviceDiskBytes)
@@ -314,7 +314,7 @@
 	const changes = 110
 	inServiceCluster(t, serviceDiskBytes, func(t *testing.T, c *testCluster, disks map[string]*limitedDisk) {
 		for i := range changes {
-			c.change(c.states[i%len(c.states)], configurer.Change{
+			c.mustChangeLarge(c.states[i%len(c.states)], configurer.Change{
 				ID: fmt.Sprint("change-", i), BaseVersion: uint64(i), Text: textOf(i+1, largeTextBytes),
 			})
 		}
@@ -337,7 +337,7 @@
 func TestReplacedEntriesFitOnDisk(t *testing.T) {
 	d := newLimitedDisk(serviceDiskBytes)
 	f := openFollower(t, d.disk())
-	payload, err := configurer.EncodeChange(versioned(1, largeTextBytes))
+	payload, err := configurer.EncodeChange(largeChange(1, largeTextBytes))
 	require.NoError(t, err)
 	for term := uint64(2); term < 100; term++ {
 		f.handle(input{from: "b", message: &wire.StateMessage{Log: encodeMessage(&replicator.Message{
