--- a/internal/keeper/cluster_test.go
+++ b/internal/keeper/cluster_test.go
@@ -30,7 +30,11 @@
 	mu     sync.Mutex
 	vms    map[string]*testVM
 	states []string
-	cut    map[string]bool
+	// founders are the state VMs that form the group, and voters is the number of voters that
+	// it maintains. Zero values mean all state VMs.
+	founders []string
+	voters   int
+	cut      map[string]bool
 	// intercept returns true for a message that is not delivered now. If hold is set, it is
 	// delivered by release.
 	intercept  func(from, to string, m *wire.StateMessage) bool
@@ -120,20 +124,39 @@
 
 // start starts the process of a VM and connects it.
 func (c *testCluster) start(name string) {
+	require.NoError(c.t, c.tryStart(name))
+}
+
+// tryStart starts the process of a VM unless its disk cannot be opened.
+func (c *testCluster) tryStart(name string) error {
 	vm := c.vms[name]
 	founders := c.states
+	if c.founders != nil {
+		founders = c.founders
+	}
 	if !vm.founder {
 		founders = nil
 	}
+	voters := 2*(len(c.states)/2) + 1
+	if c.voters > 0 {
+		voters = c.voters
+	}
+	// A process that has ended sends nothing more, also if it was within a step.
+	var hasEnded atomic.Bool
+	send := func(to string, m *wire.StateMessage) {
+		if !hasEnded.Load() {
+			c.send(name, to, m)
+		}
+	}
 	k, err := New(Config{
-		VM: name, Founders: founders, Voters: 2*(len(c.states)/2) + 1, Disk: vm.disk, Timing: replicator.DefaultTiming(), Seed: uint64(len(name)) + uint64(name[1]),
+		VM: name, Founders: founders, Voters: voters, Disk: vm.disk, Timing: replicator.DefaultTiming(), Seed: uint64(len(name)) + uint64(name[1]),
 		Now: time.Now, StateVMs: func() []string { return c.states },
 	}, Handlers{
-		Send: func(to string, m *wire.StateMessage) { c.send(name, to, m) },
+		Send: send,
 		Broadcast: func(m *wire.StateMessage) {
 			for _, to := range c.names() {
 				if to != name {
-					c.send(name, to, m)
+					send(to, m)
 				}
 			}
 		},
@@ -141,7 +164,9 @@
 		ActivateEvacuations: vm.activate,
 		Event:               vm.record,
 	})
-	require.NoError(c.t, err)
+	if err != nil {
+		return err
+	}
 	vm.mu.Lock()
 	vm.active = nil
 	vm.mu.Unlock()
@@ -151,7 +176,7 @@
 	running.Go(func() { c.beat(ctx, name, k) })
 	c.mu.Lock()
 	vm.keeper = k
-	vm.stop = func() { cancel(); running.Wait() }
+	vm.stop = func() { hasEnded.Store(true); cancel(); running.Wait() }
 	c.mu.Unlock()
 	for _, peer := range c.names() {
 		if peer != name && c.isLinked(name, peer) {
@@ -159,6 +184,7 @@
 			c.keeper(peer).PeerUp(name)
 		}
 	}
+	return nil
 }
 
 func (vm *testVM) activate(set configurer.EvacuationSet) {
