--- a/internal/keeper/knownred_group_recovery_test.go
+++ b/internal/keeper/knownred_group_recovery_test.go
@@ -65,51 +65,57 @@
 
 func inLossyGroup(t *testing.T, seed uint64, test func(t *testing.T, g *lossyGroup)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		g := &lossyGroup{
-			testCluster: &testCluster{t: t, vms: map[string]*testVM{}, cut: map[string]bool{}, voters: 3},
-			seed:        seed, disks: map[string]*volatileDisk{}, ends: map[string]func(){}, starting: map[string]chan struct{}{},
-			wanted: map[string]int{}, random: rand.New(rand.NewPCG(seed, 29)), sent: map[uint64][]byte{}, oneWay: map[string]bool{}, textSize: 200,
-		}
-		if seed%8 == 0 {
-			g.textSize = 100_000
-		}
-		// The VMs after the first four or five replace others.
-		for i := range 8 {
-			name := fmt.Sprint("s", i+1)
-			g.states = append(g.states, name)
-			g.vms[name] = &testVM{name: name, founder: i < 3}
-			g.disks[name] = newVolatileDisk(seed<<8 + uint64(i))
-			g.starting[name] = make(chan struct{}, 1)
-		}
-		g.founders = g.states[:3]
-		g.setLinks(func(m *wire.StateMessage) (time.Duration, bool) {
-			delay := g.duration(1, 6) + time.Duration(proto.Size(m)/linkBytesPerMs)*time.Millisecond
-			return delay, g.number(100) == 0
-		})
-		g.drop(func(from, to string, _ *wire.StateMessage) bool {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			return g.oneWay[from+to]
-		})
-		for _, name := range g.states[:4+seed%2] {
-			g.up(name)
-		}
-		defer func() {
-			g.mu.Lock()
-			g.stopped = true
-			g.mu.Unlock()
-			for _, name := range g.states {
-				g.down(name)
-			}
-			g.running.Wait()
-		}()
-		time.Sleep(settleTime)
-		for _, name := range g.states[:3] {
-			g.vms[name].founder = false
-		}
-		test(t, g)
+	// A subtest of its own, so that the seeds after one that fails run too.
+	t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) { runLossyGroup(t, seed, test) })
+	})
+}
+
+func runLossyGroup(t *testing.T, seed uint64, test func(t *testing.T, g *lossyGroup)) {
+	t.Helper()
+	g := &lossyGroup{
+		testCluster: &testCluster{t: t, vms: map[string]*testVM{}, cut: map[string]bool{}, voters: 3},
+		seed:        seed, disks: map[string]*volatileDisk{}, ends: map[string]func(){}, starting: map[string]chan struct{}{},
+		wanted: map[string]int{}, random: rand.New(rand.NewPCG(seed, 29)), sent: map[uint64][]byte{}, oneWay: map[string]bool{}, textSize: 200,
+	}
+	if seed%8 == 0 {
+		g.textSize = 100_000
+	}
+	// The VMs after the first four or five replace others.
+	for i := range 8 {
+		name := fmt.Sprint("s", i+1)
+		g.states = append(g.states, name)
+		g.vms[name] = &testVM{name: name, founder: i < 3}
+		g.disks[name] = newVolatileDisk(seed<<8 + uint64(i))
+		g.starting[name] = make(chan struct{}, 1)
+	}
+	g.founders = g.states[:3]
+	g.setLinks(func(m *wire.StateMessage) (time.Duration, bool) {
+		delay := g.duration(1, 6) + time.Duration(proto.Size(m)/linkBytesPerMs)*time.Millisecond
+		return delay, g.number(100) == 0
 	})
+	g.drop(func(from, to string, _ *wire.StateMessage) bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.oneWay[from+to]
+	})
+	for _, name := range g.states[:4+seed%2] {
+		g.up(name)
+	}
+	defer func() {
+		g.mu.Lock()
+		g.stopped = true
+		g.mu.Unlock()
+		for _, name := range g.states {
+			g.down(name)
+		}
+		g.running.Wait()
+	}()
+	time.Sleep(settleTime)
+	for _, name := range g.states[:3] {
+		g.vms[name].founder = false
+	}
+	test(t, g)
 }
 
 func (g *lossyGroup) number(n int) int {
