Replicator: an additional voter becomes a learner again

The leader replaces a lost voter by promoting a learner and then, in a second change, removes the lost one. If the lost voter was heard of again between the two, nothing was lost any more and the fourth voter stayed, with a quorum of three:

"[a b c d]" should have 3 item(s), but has 4

The leader now makes a voter a learner while there are more than it should maintain and none is lost: the one that holds the fewest entries, never itself. A change of one voter at a time keeps the quorums of the old and the new list overlapping.

--- a/internal/replicator/membership.go
+++ b/internal/replicator/membership.go
@@ -97,7 +97,8 @@
 
 // MaintainVoters makes the leader propose at most one change towards the configured
 // number of reachable voters. To replace a lost voter, it first promotes a learner that has
-// caught up and then, in a later call, removes the lost voter. Lost learners are removed
+// caught up and then, in a later call, removes the lost voter, or makes a voter a learner if
+// the lost one has returned: an additional voter raises the quorum. Lost learners are removed
 // when the voters need no change. After the first call, learners are promoted by
 // MaintainVoters alone.
 func (r *Replicator) MaintainVoters(now time.Time, policy VoterPolicy, out *Effects) {
@@ -121,6 +122,8 @@
 	switch {
 	case voters > policy.Voters && lostVoter != "":
 		_ = r.Remove(now, lostVoter, out)
+	case voters > policy.Voters:
+		r.demoteOneVoter(now, out)
 	case voters < policy.Voters || voters == policy.Voters && lostVoter != "":
 		r.promoteOneLearner(now, out)
 	case lostLearner != "":
@@ -150,6 +153,23 @@
 	}
 }
 
+// demoteOneVoter makes the voter a learner that holds the fewest entries. It is not the
+// leader, which holds them all.
+func (r *Replicator) demoteOneVoter(now time.Time, out *Effects) {
+	last := -1
+	for i, m := range r.members {
+		if p := r.progress[m.ID]; m.Voter && p != nil && (last < 0 || p.match < r.progress[r.members[last].ID].match) {
+			last = i
+		}
+	}
+	if last < 0 {
+		return
+	}
+	members := slices.Clone(r.members)
+	members[last].Voter = false
+	_ = r.proposeMembers(now, members, out)
+}
+
 // promoteIfCaughtUp promotes a learner that holds all committed entries, unless
 // MaintainVoters manages the voters.
 func (r *Replicator) promoteIfCaughtUp(now time.Time, id string) {
