Keeper: a lost voter is replaced before the next disk may be lost

The new leader counts the 3 s of a lost voter from its election; with an election of up to a second and two changes of the members, the lost voter was still a member, and two of three or four voters were gone:

A voter now counts as lost after 2 s, which is still longer than most restarts. Not done: removing first and promoting then, since two voters have no quorum either once one of them is lost.

--- a/internal/keeper/members.go
+++ b/internal/keeper/members.go
@@ -14,9 +14,10 @@
 	announceInterval = 500 * time.Millisecond
 	// memberCheckInterval is how often a leader checks its members.
 	memberCheckInterval = 250 * time.Millisecond
-	// voterLostAfter is how long a voter may be unreachable before a learner replaces
-	// it. It is longer than a restart, which needs no replacement.
-	voterLostAfter = 3 * time.Second
+	// voterLostAfter is how long a voter may be unreachable before a learner replaces it. It
+	// is longer than most restarts, which need no replacement. An election, this time and the
+	// two changes of the members must be over before the next disk may be lost.
+	voterLostAfter = 2 * time.Second
 	// learnerLostAfter is how long a learner may be unreachable before it is removed.
 	learnerLostAfter = 60 * time.Second
 )
