--- /dev/null
+++ b/internal/messenger/knownred_link_test.go
@@ -0,0 +1,57 @@
+//go:build knownred
+
+package messenger
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"bronzedrift.example/bronzedrift/internal/messenger/wire"
+	"bronzedrift.example/bronzedrift/internal/recorder"
+)
+
+// newTestLink returns a link that does not run, and the events of its messenger.
+func newTestLink() (*link, *[]recorder.Event) {
+	var events []recorder.Event
+	m := &Messenger{config: Config{QueueLength: 16_384}, handlers: Handlers{
+		Event: func(e recorder.Event) { events = append(events, e) },
+		Clock: func() recorder.Clock { return recorder.Clock{} },
+	}}
+	return newLink(m, Peer{VM: "b", Inner: netip.MustParseAddrPort("127.77.1.2:17001")}), &events
+}
+
+// TestLogMessagesOfALinkAreBoundedInBytes guards against memory that fills with large messages of
+// the log to a peer that reads slowly or not at all, and against a session that ends for it.
+func TestLogMessagesOfALinkAreBoundedInBytes(t *testing.T) {
+	const size, bound = 400 << 10, 16 << 20
+	l, events := newTestLink()
+	queued := 0
+	for range 200 {
+		if l.enqueue(outboundMessage{log: make([]byte, size)}) {
+			queued += size
+		}
+	}
+	assert.Positive(t, queued)
+	assert.LessOrEqual(t, queued, bound)
+	assert.True(t, l.enqueue(outboundMessage{relay: &wire.Relay{}}), "other messages pass")
+	assert.Empty(t, l.overflow, "the session ends")
+	assert.Len(t, *events, 1, "the loss is reported once")
+}
+
+// TestFramesAreBoundedInBytes guards against a frame of many large messages, behind which other
+// messages wait for seconds on a narrow link.
+func TestFramesAreBoundedInBytes(t *testing.T) {
+	const size, bound = 100 << 10, 1 << 20
+	l, _ := newTestLink()
+	for range 100 {
+		l.enqueue(outboundMessage{relay: &wire.Relay{Incarnation: string(make([]byte, size))}})
+	}
+	frame := l.nextFrame(<-l.queue, 1)
+	total := 0
+	for _, m := range frame.GetMessages() {
+		total += len(m.GetRelay().GetIncarnation())
+	}
+	assert.LessOrEqual(t, total, bound)
+}
