Replicator: bound an Append in bytes and keep one in flight a member

Users saw state VMs exceed their memory and reads of the configuration without an answer, with large configurations and a lost disk or a replaced state VM.

The leader sent each member all entries that it lacked, up to 256 of any size, again at each heartbeat, proposal, read and rejected Append.

An Append now holds 256 KiB, or one larger entry, so that the heartbeats behind it pass a link of 19 Mbit/s within an election timeout. Heartbeats have no entries and follow the last entry known to match, so that they are accepted meanwhile, confirm the leader and carry the commit index. There is no timeout that a narrow link could miss. After a rejection the matching entry is looked for with empty Appends.

--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -160,7 +160,12 @@
 
 func (r *Replicator) sendHeartbeats(now time.Time) {
 	r.nextHeartbeat = now.Add(r.timing.HeartbeatInterval)
-	r.replicateAll(now)
+	r.round++
+	for _, m := range r.members {
+		if m.ID != r.id {
+			r.sendHeartbeat(now, m.ID)
+		}
+	}
 }
 
 func (r *Replicator) isVoter(id string) bool {
--- a/internal/replicator/log.go
+++ b/internal/replicator/log.go
@@ -39,6 +39,24 @@
 	return append([]Entry(nil), l.entries[max(index, l.firstIndex)-l.firstIndex:]...)
 }
 
+// batchFrom returns the entries from an index on that fit in one Append, at least one if the
+// log holds it.
+func (l *log) batchFrom(index uint64) []Entry {
+	if index > l.lastIndex() {
+		return nil
+	}
+	rest := l.entries[index-l.firstIndex:]
+	n, size := 0, 0
+	for n < min(len(rest), maxAppendEntries) {
+		size += len(rest[n].Payload)
+		if n > 0 && size > maxAppendBytes {
+			break
+		}
+		n++
+	}
+	return append([]Entry(nil), rest[:n]...)
+}
+
 // truncateAndAppend appends entries, after discarding all existing ones from the
 // first new index on.
 func (l *log) truncateAndAppend(entries []Entry) {
--- a/internal/replicator/model_test.go
+++ b/internal/replicator/model_test.go
@@ -16,8 +16,8 @@
 
 // modelBounds limits the events on one execution path.
 type modelBounds struct {
-	timeouts, restarts, proposals int
-	depth                         int
+	timeouts, restarts, proposals, reads int
+	depth                                int
 	// losesVoteOnRestart injects a fault: a restarted replica has lost its vote.
 	losesVoteOnRestart bool
 }
@@ -32,6 +32,7 @@
 	timeouts int
 	restarts int
 	proposed int
+	reads    int
 	depth    int
 }
 
@@ -114,6 +115,13 @@
 				_, _ = r.Propose(now, []byte("change"), out)
 			}))
 		}
+		if s.reads < b.reads && s.nodes[i].role == Leader {
+			c := *s
+			c.reads++
+			list = append(list, c.stepReplica(i, func(r *Replicator, now time.Time, out *Effects) {
+				_ = r.Read(now, uint64(c.reads), out)
+			}))
+		}
 	}
 	for m := range s.messages {
 		message := s.messages[m]
@@ -165,17 +173,18 @@
 		}
 		if r.role == Leader {
 			for _, id := range slices.Sorted(maps.Keys(r.progress)) {
-				fmt.Fprintf(&b, " %d/%d", r.progress[id].next, r.progress[id].match)
+				p := r.progress[id]
+				fmt.Fprintf(&b, " %d/%d/%t/%t/%d", p.next, p.match, p.isProbing, p.isInFlight, p.transferRound)
 			}
 		}
 		b.WriteByte(';')
 	}
 	messageKeys := make([]string, len(s.messages))
 	for i, m := range s.messages {
-		messageKeys[i] = fmt.Sprintf("%d%s%s %d %d %d %d %t %d", m.Kind, m.From, m.To, m.Term, m.Index, m.LogTerm, m.Commit, m.Accepted, len(m.Entries))
+		messageKeys[i] = fmt.Sprintf("%d%s%s %d %d %d %d %t %d %d", m.Kind, m.From, m.To, m.Term, m.Index, m.LogTerm, m.Commit, m.Accepted, len(m.Entries), m.Round)
 	}
 	sort.Strings(messageKeys)
-	fmt.Fprintf(&b, "%v %d %d %d", messageKeys, s.timeouts, s.restarts, s.proposed)
+	fmt.Fprintf(&b, "%v %d %d %d %d", messageKeys, s.timeouts, s.restarts, s.proposed, s.reads)
 	return b.String()
 }
 
@@ -209,6 +218,8 @@
 		"one election, one restart":  {timeouts: 1, restarts: 1, depth: 11},
 		"two elections, one restart": {timeouts: 2, restarts: 1, depth: 9},
 		"one election, one proposal": {timeouts: 1, proposals: 1, depth: 12},
+		"proposal and heartbeats":    {timeouts: 1, proposals: 1, reads: 2, depth: 11},
+		"late elections, heartbeats": {timeouts: 2, proposals: 1, reads: 1, depth: 9},
 	} {
 		t.Run(name, func(t *testing.T) {
 			states, violation := explore(b)
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -7,7 +7,13 @@
 
 const (
 	maxAppendEntries = 256
-	snapshotTimeout  = 2 * time.Second
+	// maxAppendBytes limits an Append of several entries. It passes a link of 19 Mbit/s well
+	// within an election timeout, so that the heartbeats behind it are in time.
+	maxAppendBytes = 256 << 10
+	// resendInterval and snapshotResendInterval are the shortest times after which an Append
+	// or a snapshot is sent again to a member that answers but has not got it.
+	resendInterval         = 300 * time.Millisecond
+	snapshotResendInterval = 2 * time.Second
 )
 
 func (r *Replicator) replicateAll(now time.Time) {
@@ -18,34 +24,49 @@
 	}
 }
 
-// replicate sends a member the entries that it lacks, or a snapshot if the log no
-// longer holds them.
+// replicate sends a member a batch of the entries that it lacks, or a snapshot if the log no
+// longer holds them, unless one is in flight. Until the entry before them is known to match,
+// an Append without entries is sent instead.
+//
+// Each transfer starts a round of its own, so that an answer of that round or a later one
+// shows that the member received the transfer or never will: links keep the order.
 func (r *Replicator) replicate(now time.Time, id string) {
 	p := r.ensureProgress(now, id)
-	if p.next < r.log.firstIndex {
-		r.sendSnapshot(now, id, p)
+	if p.isInFlight {
 		return
 	}
-	entries := r.log.entriesFrom(p.next)
-	if len(entries) > maxAppendEntries {
-		entries = entries[:maxAppendEntries]
+	r.round++
+	p.isInFlight, p.transferRound, p.transferAt = true, r.round, now
+	p.isSnapshot = p.next < r.log.firstIndex
+	if p.isSnapshot {
+		// The caller adds the latest snapshot, since the replica does not hold its state.
+		r.send(Message{Kind: InstallSnapshot, To: id, Round: r.round})
+		return
+	}
+	var entries []Entry
+	if !p.isProbing {
+		entries = r.log.batchFrom(p.next)
 	}
+	r.sendAppend(id, p.next-1, entries)
+}
+
+func (r *Replicator) sendAppend(id string, index uint64, entries []Entry) {
 	r.send(Message{
-		Kind: Append, To: id, Index: p.next - 1, LogTerm: r.log.term(p.next - 1),
+		Kind: Append, To: id, Index: index, LogTerm: r.log.term(index),
 		Entries: entries, Commit: r.commit, Round: r.round,
 	})
 }
 
-// sendSnapshot emits an InstallSnapshot message to which the caller adds the latest
-// snapshot, since the replica does not hold its state. Until the member acknowledges it or
-// snapshotTimeout has passed, only an empty Append is sent as the heartbeat.
-func (r *Replicator) sendSnapshot(now time.Time, id string, p *progress) {
-	if now.Sub(p.snapshotSentAt) < snapshotTimeout {
-		r.send(Message{Kind: Append, To: id, Index: r.log.lastIndex(), LogTerm: r.log.lastTerm(), Commit: r.commit, Round: r.round})
-		return
+// sendHeartbeat sends an Append without entries. It follows the last entry that is known to
+// match, so that the member accepts it while others are in flight.
+func (r *Replicator) sendHeartbeat(now time.Time, id string) {
+	p := r.ensureProgress(now, id)
+	index := min(p.match, p.next-1)
+	if index+1 < r.log.firstIndex {
+		// Every log matches before its first entry.
+		index = 0
 	}
-	p.snapshotSentAt = now
-	r.send(Message{Kind: InstallSnapshot, To: id, Round: r.round})
+	r.sendAppend(id, index, nil)
 }
 
 func (r *Replicator) handleAppend(now time.Time, m *Message) {
@@ -99,21 +120,34 @@
 	p.lastContact = now
 	p.round = max(p.round, m.Round)
 	if !m.Accepted {
-		p.next = max(1, min(p.next-1, m.Index+1))
-		r.replicate(now, m.From)
+		r.handleRejection(now, p, m)
 		return
 	}
-	if m.Index > p.match {
-		p.match = m.Index
-		p.snapshotSentAt = time.Time{}
+	if hasArrived := m.Round == p.transferRound && m.Index+1 >= p.next; hasArrived {
+		p.isInFlight, p.isProbing = false, false
+	}
+	p.match = max(p.match, m.Index)
+	p.next = max(p.next, m.Index+1)
+	if p.isInFlight && m.Round > p.transferRound && now.Sub(p.transferAt) >= p.resendInterval() {
+		p.isInFlight = false
 	}
-	p.next = max(p.next, p.match+1)
 	if p.next <= r.log.lastIndex() {
 		r.replicate(now, m.From)
 	}
 	r.promoteIfCaughtUp(now, m.From)
 }
 
+// handleRejection continues at an earlier entry. An answer to what was sent before the
+// current transfer says nothing new.
+func (r *Replicator) handleRejection(now time.Time, p *progress, m *Message) {
+	if p.isInFlight && m.Round < p.transferRound {
+		return
+	}
+	p.next = max(1, min(p.next-1, m.Index+1))
+	p.isInFlight, p.isProbing = false, true
+	r.replicate(now, m.From)
+}
+
 // handleSnapshot replaces the log and the state machine's state by a snapshot that
 // is ahead of the commit index.
 func (r *Replicator) handleSnapshot(now time.Time, m *Message) {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -66,10 +66,25 @@
 
 // progress is the leader's view of one other member.
 type progress struct {
-	next, match    uint64
-	lastContact    time.Time
-	round          uint64
-	snapshotSentAt time.Time
+	// next is the first entry to send, and match the last one known to match.
+	next, match uint64
+	lastContact time.Time
+	round       uint64
+	// isProbing is set until the entry before next is known to match, after one did not.
+	isProbing bool
+	// isInFlight is set while an Append of replicate, or a snapshot, is not answered.
+	// transferRound and transferAt are the round and the time of the latest one.
+	isInFlight    bool
+	isSnapshot    bool
+	transferRound uint64
+	transferAt    time.Time
+}
+
+func (p *progress) resendInterval() time.Duration {
+	if p.isSnapshot {
+		return snapshotResendInterval
+	}
+	return resendInterval
 }
 
 // read is a linearizable read that waits for a quorum to confirm a heartbeat round.
