Messenger: bound the log of a link and frames in bytes

The queue of a link held 16,384 messages and a frame 512, of any size. A configuration of some thousand routes has 0.4 MB, so that a peer that reads slowly could cost a state VM of 280 MB all its memory, and other messages waited behind all of it.

Messages of the log now have a queue of their own of 8 MiB. One that finds no room is dropped, since its sender repeats it: the session goes on. The first loss is event 205, all are counted (bronzedrift_log_messages_dropped_total). A frame holds either messages of the log or others, and takes no further one from 64 KiB on, so that a heartbeat waits behind one large message and not behind all. A buffer of more than 1 MiB is not kept for the next frame.

Open: relays (orders, answers) are still bounded by number alone.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -269,6 +269,7 @@
 		return fmt.Errorf("conductor: opening the messenger: %w", err)
 	}
 	d.messenger = m
+	d.metrics.addLinks(&m.Counts)
 	return nil
 }
 
--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"bronzedrift.example/bronzedrift/internal/holder"
+	"bronzedrift.example/bronzedrift/internal/messenger"
 )
 
 // metrics are the counters and histograms of one VM. Label values are constants in the code, or
@@ -69,6 +70,13 @@
 	return m
 }
 
+// addLinks registers the counters of the links.
+func (m *metrics) addLinks(counts *messenger.Counts) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "bronzedrift_log_messages_dropped_total", Help: "Messages of the replicated log for which a link had no room.",
+	}, func() float64 { return float64(counts.LogsDropped.Load()) }))
+}
+
 func (m *metrics) recordDecision(d *holder.Decision) {
 	m.decisions.WithLabelValues(d.Event).Inc()
 	if result, ok := strings.CutPrefix(d.Event, answeredPrefix); ok {
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -30,9 +30,15 @@
 	defaultHeartbeatInterval = 250 * time.Millisecond
 	defaultSilenceTimeout    = time.Second
 	maxFrameMessages         = 512
-	readBufferBytes          = 64 << 10
-	handshakeTimeout         = time.Second
-	streamWindowSize         = 1 << 20
+	// maxFrameContentBytes limits a frame of several messages, and maxQueuedLogBytes the
+	// messages of the log that wait for a link: at 19 Mbit/s they take 0.03 s and 3.5 s.
+	maxFrameContentBytes = 64 << 10
+	maxQueuedLogBytes    = 8 << 20
+	// maxKeptBufferBytes is the largest buffer that is kept for the next frame.
+	maxKeptBufferBytes = 1 << 20
+	readBufferBytes    = 64 << 10
+	handshakeTimeout   = time.Second
+	streamWindowSize   = 1 << 20
 )
 
 // link sends messages to one peer over a session that this VM dials.
@@ -40,7 +46,10 @@
 	messenger *Messenger
 	peer      Peer
 	queue     chan outboundMessage
-	overflow  chan struct{}
+	// logs holds the messages of the log apart, since they may be large: the others need
+	// not wait behind all of them.
+	logs     logQueue
+	overflow chan struct{}
 	// peerDialled receives when the peer has dialled this VM. It ends a back-off
 	// or a pending connection attempt, so that the peer is dialled at once.
 	peerDialled chan struct{}
@@ -59,6 +68,7 @@
 	return &link{
 		messenger: m, peer: p,
 		queue:       make(chan outboundMessage, m.config.QueueLength),
+		logs:        newLogQueue(),
 		overflow:    make(chan struct{}, 1),
 		peerDialled: make(chan struct{}, 1),
 		stop:        func() {},
@@ -66,8 +76,12 @@
 }
 
 // enqueue queues a message. If the queue is full it returns false and has the
-// session closed, so that both ends start over on a new one.
+// session closed, so that both ends start over on a new one. A message of the log that
+// finds no room is only dropped, since its sender repeats it.
 func (l *link) enqueue(o outboundMessage) bool {
+	if o.log != nil {
+		return l.enqueueLog(o.log)
+	}
 	select {
 	case l.queue <- o:
 		return true
@@ -80,6 +94,18 @@
 	return false
 }
 
+func (l *link) enqueueLog(payload []byte) bool {
+	isQueued, isFirstLoss := l.logs.add(payload)
+	if isQueued {
+		return true
+	}
+	l.messenger.Counts.LogsDropped.Add(1)
+	if isFirstLoss {
+		l.messenger.handlers.Event(recorder.Event{Number: recorder.LogQueueFull, Peer: l.peer.VM, Task: recorder.NoTask})
+	}
+	return false
+}
+
 // run dials the peer, sends until the session ends, and repeats until the context
 // ends.
 func (l *link) run(ctx context.Context) {
@@ -118,6 +144,7 @@
 // discardQueue drops the messages queued for a session that has ended. PeerUp
 // announces the next one, on which the senders repeat what is still needed.
 func (l *link) discardQueue() {
+	l.logs.discard()
 	for {
 		select {
 		case <-l.queue:
@@ -205,6 +232,7 @@
 	var sequence uint64
 	w := &progressWriter{stream: stream, session: session, timeout: l.messenger.silenceTimeout()}
 	for {
+		var frame *wire.Frame
 		select {
 		case <-ctx.Done():
 			return
@@ -214,18 +242,23 @@
 			l.messenger.handlers.Event(recorder.Event{Number: recorder.RingFull, Peer: l.peer.VM, Task: recorder.NoTask})
 			return
 		case first := <-l.queue:
-			sequence++
-			frame := l.nextFrame(first, sequence)
-			var err error
+			frame = l.nextFrame(first, sequence+1)
+		case first := <-l.logs.messages:
+			frame = l.nextLogFrame(first, sequence+1)
+		}
+		sequence++
+		var err error
+		buffer, err = writeFrame(w, buffer, frame)
+		if errors.Is(err, errNotEncodable) {
+			l.dropNotEncodable(frame)
 			buffer, err = writeFrame(w, buffer, frame)
-			if errors.Is(err, errNotEncodable) {
-				l.dropNotEncodable(frame)
-				buffer, err = writeFrame(w, buffer, frame)
-			}
-			if err != nil {
-				return
-			}
-			l.messenger.countSent(frame, len(buffer))
+		}
+		if err != nil {
+			return
+		}
+		l.messenger.countSent(frame, len(buffer))
+		if cap(buffer) > maxKeptBufferBytes {
+			buffer = nil
 		}
 	}
 }
@@ -267,15 +300,32 @@
 
 // nextFrame builds a frame of the first message and those queued behind it.
 func (l *link) nextFrame(first outboundMessage, sequence uint64) *wire.Frame {
-	clock := l.messenger.handlers.Clock()
-	frame := &wire.Frame{
-		Sequence: sequence, ClockWall: unixNano(clock.Wall), ClockCounter: clock.Counter,
-		Messages: []*wire.Message{encodeOutbound(first)},
-	}
-	for len(frame.Messages) < maxFrameMessages {
+	frame := l.newFrame(first, sequence)
+	size := proto.Size(frame.Messages[0])
+	for len(frame.Messages) < maxFrameMessages && size < maxFrameContentBytes {
 		select {
 		case next := <-l.queue:
-			frame.Messages = append(frame.Messages, encodeOutbound(next))
+			m := encodeOutbound(next)
+			size += proto.Size(m)
+			frame.Messages = append(frame.Messages, m)
+		default:
+			return frame
+		}
+	}
+	return frame
+}
+
+// nextLogFrame builds a frame of the first message of the log and those queued behind it.
+func (l *link) nextLogFrame(first []byte, sequence uint64) *wire.Frame {
+	l.logs.taken(first)
+	frame := l.newFrame(outboundMessage{log: first}, sequence)
+	size := len(first)
+	for len(frame.Messages) < maxFrameMessages && size < maxFrameContentBytes {
+		select {
+		case next := <-l.logs.messages:
+			l.logs.taken(next)
+			size += len(next)
+			frame.Messages = append(frame.Messages, encodeOutbound(outboundMessage{log: next}))
 		default:
 			return frame
 		}
@@ -283,6 +333,14 @@
 	return frame
 }
 
+func (l *link) newFrame(first outboundMessage, sequence uint64) *wire.Frame {
+	clock := l.messenger.handlers.Clock()
+	return &wire.Frame{
+		Sequence: sequence, ClockWall: unixNano(clock.Wall), ClockCounter: clock.Counter,
+		Messages: []*wire.Message{encodeOutbound(first)},
+	}
+}
+
 func encodeOutbound(o outboundMessage) *wire.Message {
 	switch {
 	case o.relay != nil:
--- a/internal/messenger/knownred_link_test.go
+++ b/internal/messenger/link_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package messenger
 
 import (
@@ -55,3 +53,35 @@
 	}
 	assert.LessOrEqual(t, total, bound)
 }
+
+// TestOtherMessagesPassTheLog guards against heartbeats that wait behind all large messages of
+// the log on a narrow link.
+func TestOtherMessagesPassTheLog(t *testing.T) {
+	l, _ := newTestLink()
+	for range 3 {
+		l.enqueue(outboundMessage{log: make([]byte, 400<<10)})
+	}
+	l.enqueue(outboundMessage{relay: &wire.Relay{}})
+	assert.Len(t, l.nextLogFrame(<-l.logs.messages, 1).GetMessages(), 1)
+	frame := l.nextFrame(<-l.queue, 2)
+	assert.Len(t, frame.GetMessages(), 1)
+	assert.NotNil(t, frame.GetMessages()[0].GetRelay())
+}
+
+// TestQueueOfTheLogHasRoomAgain guards against a queue that stays closed to the log after it was
+// full once, by messages that were sent or discarded.
+func TestQueueOfTheLogHasRoomAgain(t *testing.T) {
+	payload := make([]byte, maxQueuedLogBytes)
+	for name, empty := range map[string]func(l *link){
+		"sent":      func(l *link) { l.nextLogFrame(<-l.logs.messages, 1) },
+		"discarded": func(l *link) { l.discardQueue() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, _ := newTestLink()
+			assert.True(t, l.enqueue(outboundMessage{log: payload}))
+			assert.False(t, l.enqueue(outboundMessage{log: payload}))
+			empty(l)
+			assert.True(t, l.enqueue(outboundMessage{log: payload}))
+		})
+	}
+}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -1,5 +1,6 @@
 // Package messenger implements the inner protocol between VMs. It keeps one link
-// to each peer and sends batches of messages over it, in order and at most once.
+// to each peer and sends batches of messages over it, in order and at most once;
+// messages of the replicated log keep an order of their own.
 // A link whose peer stops answering is closed and dialled again. The messages
 // lost with it are not resent here: every message can be repeated, and its
 // sender repeats it if it is still needed.
@@ -89,8 +90,10 @@
 	Counts       Counts
 }
 
-// Counts holds the totals of messages, frames and bytes sent and received.
+// Counts holds the totals of messages, frames and bytes sent and received. LogsDropped are
+// the messages of the log for which a link had no room.
 type Counts struct {
+	LogsDropped      atomic.Uint64
 	MessagesSent     atomic.Uint64
 	FramesSent       atomic.Uint64
 	BytesSent        atomic.Uint64
@@ -119,7 +122,8 @@
 	return m.enqueue(to, outboundMessage{message: &msg})
 }
 
-// SendLog queues a message of the replicated log for a peer.
+// SendLog queues a message of the replicated log for a peer. It returns false if the peer is
+// unknown or too many bytes of them wait for its link; the session goes on.
 func (m *Messenger) SendLog(to string, payload []byte) bool {
 	return m.enqueue(to, outboundMessage{log: payload})
 }
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -22,6 +22,7 @@
 	LinkLost:            {"link-lost", true, true},
 	LinkRefused:         {"link-refused", true, true},
 	RingFull:            {"ring-full", true, true},
+	LogQueueFull:        {"log-queue-full", true, true},
 	JobSubmitted:        {"job-submitted", false, false},
 	JobForwarded:        {"job-forwarded", false, false},
 	JobAdmitted:         {"job-admitted", false, false},
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -21,6 +21,7 @@
 	LinkLost            EventNumber = 202
 	LinkRefused         EventNumber = 203
 	RingFull            EventNumber = 204
+	LogQueueFull        EventNumber = 205
 	JobSubmitted        EventNumber = 301
 	JobForwarded        EventNumber = 302
 	JobAdmitted         EventNumber = 303
