Conductor, daemon: encode a broadcast once

The text of a configuration was encoded for each VM that it was sent to, and each queue of a link held a copy of its own. The links now share one. No measurement: the number of copies is that of the calls.

--- a/internal/conductor/receive.go
+++ b/internal/conductor/receive.go
@@ -219,11 +219,16 @@
 	if !d.config.IsState {
 		return
 	}
+	payload, err := proto.Marshal(m)
+	if err != nil {
+		d.recordInvalidMessage(d.config.Inner.String(), err)
+		return
+	}
+	isForAll := m.GetConfiguration() != nil || m.GetEvacuations() != nil
 	d.enqueue(func(time.Time) {
 		for _, vm := range d.peers.Known() {
-			p := d.peers.Peer(vm)
-			if p.IsState || m.GetConfiguration() != nil || m.GetEvacuations() != nil {
-				d.sendState(vm, m)
+			if isForAll || d.peers.Peer(vm).IsState {
+				d.messenger.SendLog(vm, payload)
 			}
 		}
 	})
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -60,9 +60,13 @@
 }
 
 func (d *Daemon) broadcastStateMessage(m *wire.StateMessage) {
+	payload, err := proto.Marshal(m)
+	if err != nil {
+		return
+	}
 	for _, p := range d.settings.Peers {
 		if p.VM != d.settings.VM {
-			d.sendStateMessage(p.VM, m)
+			d.messenger.SendLog(p.VM, payload)
 		}
 	}
 }
