--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -23,6 +23,7 @@
 	LinkRefused:         {"link-refused", true, true},
 	RingFull:            {"ring-full", true, true},
 	AcceptFailed:        {"accept-failed", true, true},
+	LogQueueFull:        {"log-queue-full", true, true},
 	JobSubmitted:        {"job-submitted", false, false},
 	JobForwarded:        {"job-forwarded", false, false},
 	JobAdmitted:         {"job-admitted", false, false},
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -22,6 +22,7 @@
 	LinkRefused         EventNumber = 203
 	RingFull            EventNumber = 204
 	AcceptFailed        EventNumber = 205
+	LogQueueFull        EventNumber = 206
 	JobSubmitted        EventNumber = 301
 	JobForwarded        EventNumber = 302
 	JobAdmitted         EventNumber = 303
