--- a/internal/storer/storer_test.go
+++ b/internal/storer/storer_test.go
@@ -221,8 +221,17 @@
 	for _, name := range []string{segmentName(3), snapshotName(6) + temporarySuffix, segmentName(6) + temporarySuffix} {
 		require.NoError(t, os.WriteFile(filepath.Join(folder, name), nil, fileMode))
 	}
-	_, saved, err := openFolder(t, folder)
-	require.NoError(t, err)
-	assert.Equal(t, snapshot, saved.Snapshot)
-	assertFiles(t, folder, segmentName(5), snapshotName(5))
+	t.Run("a disk that removes nothing", func(t *testing.T) {
+		disk, err := NewFolderDisk(folder)
+		require.NoError(t, err)
+		disk.Remove = func(string) error { return syscall.EIO }
+		_, _, err = Open(disk)
+		require.NoError(t, err)
+	})
+	t.Run("a disk that does", func(t *testing.T) {
+		_, saved, err := openFolder(t, folder)
+		require.NoError(t, err)
+		assert.Equal(t, snapshot, saved.Snapshot)
+		assertFiles(t, folder, segmentName(5), snapshotName(5))
+	})
 }
