Storer: what is read at a start is synced

Callers may lose an acknowledged version, or read an older one: a VM that is killed before a sync returns reads after its restart what it had written, without it being on the disk. The replica takes it for saved, confirms the entries to the leader at the next heartbeat and keeps to the vote.

Open now syncs the last segment, the only file that is appended to, and the folder. It costs two syncs a start.

--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -47,7 +47,8 @@
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 // Open reads a data folder and returns its saved state. A torn record at the end of
-// the log is truncated.
+// the log is truncated. What is returned is synced: a process that was killed may have
+// written it without a sync, and the caller will not write it again.
 func Open(disk *Disk) (*Storer, replicator.Saved, error) {
 	s := &Storer{disk: disk}
 	var saved replicator.Saved
@@ -68,6 +69,14 @@
 	s.segment = segmentName(0)
 	if len(segments) > 0 {
 		s.segment = segments[len(segments)-1]
+		if err := disk.Sync(s.segment); err != nil {
+			return nil, saved, fmt.Errorf("storer: syncing the log: %w", err)
+		}
+	}
+	if len(names) > 0 {
+		if err := disk.SyncFolder(); err != nil {
+			return nil, saved, fmt.Errorf("storer: syncing the data folder: %w", err)
+		}
 	}
 	return s, saved, nil
 }
