--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -65,6 +65,7 @@
 			return nil, saved, err
 		}
 	}
+	discardReplaced(&saved)
 	s.hardState = saved.HardState
 	s.segment = segmentName(0)
 	if len(segments) > 0 {
@@ -81,6 +82,15 @@
 	return s, saved, nil
 }
 
+// discardReplaced discards the entries of a diverged log that the snapshot has replaced. They
+// are still on the disk if the process was killed before it removed their segment. Terms do
+// not fall within a log.
+func discardReplaced(saved *replicator.Saved) {
+	if saved.Snapshot != nil && len(saved.Entries) > 0 && saved.Entries[0].Term < saved.Snapshot.Term {
+		saved.Entries = nil
+	}
+}
+
 // TruncatedBytes returns the size in bytes of a torn record that Open truncated.
 func (s *Storer) TruncatedBytes() int64 { return s.truncatedBytes }
 
