Conductor: links to the members of the replicated log

State VMs that know each other from their logs alone never met again: links were opened to seeds, to VMs that a heartbeat names and to those of the memory file, and closed after 20 s in which nobody had reported a VM. A group whose seeds are out of date and whose memory files are lost, or which was cut apart for longer than that, has a quorum and no link, so that callers get no answer to a read:

there is no link to the member

The keeper now publishes the VMs of the members in its log, and the conductor keeps a link to each: at the start and once a second. A link to a VM that is neither a member nor known any more is closed. A link is enough: both ends send a heartbeat on a new one. TestLinksToMembers passes and is in the normal suite; the tests of keeper, conductor, storer, assembler and daemon pass.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -91,6 +91,8 @@
 	ctx         context.Context
 	version     atomic.Uint64
 	stateVMs    atomic.Pointer[[]string]
+	// linkedMembers are the VMs to which there are links since they are members of the log.
+	linkedMembers []string
 	// restoredVMs are the VMs that were known before this VM restarted.
 	restoredVMs []string
 	// allReachableSince is since when all restoredVMs are directly reachable, zero while
@@ -298,6 +300,7 @@
 		return fmt.Errorf("conductor: opening the keeper: %w", err)
 	}
 	d.keeper = k
+	d.linkMembers()
 	// What the disk holds is in force before this VM takes upstreams.
 	if set := k.Evacuations(); set.Revision > 0 {
 		d.holder.SetEvacuations(d.startedAt, set, &d.holderEffects)
--- a/internal/conductor/heartbeat.go
+++ b/internal/conductor/heartbeat.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"slices"
 	"time"
 
 	"bronzedrift.example/bronzedrift/internal/messenger/wire"
@@ -126,10 +127,11 @@
 
 func (d *Conductor) cleanUp(now time.Time) {
 	for _, vm := range d.peers.Forget(now) {
-		if !d.isSeed(vm) {
+		if !d.isSeed(vm) && !slices.Contains(d.linkedMembers, vm) {
 			d.messenger.RemovePeer(vm)
 		}
 	}
+	d.linkMembers()
 	d.closeFallbackLinks(now)
 	d.updateGauges(now)
 	for number, s := range d.sessions {
@@ -140,6 +142,22 @@
 	d.publishStateVMs()
 }
 
+// linkMembers opens links to the members of the replicated log, which needs them to elect a
+// leader even if no VM has reported them. It closes those to VMs that are neither members nor
+// known any more.
+func (d *Conductor) linkMembers() {
+	members := d.keeper.MemberVMs()
+	for _, vm := range members {
+		d.openLink(vm)
+	}
+	for _, vm := range d.linkedMembers {
+		if !slices.Contains(members, vm) && d.peers.Peer(vm) == nil && !d.isSeed(vm) {
+			d.messenger.RemovePeer(vm)
+		}
+	}
+	d.linkedMembers = members
+}
+
 // sessionRetention is how long an inbound session without messages is kept.
 const sessionRetention = time.Minute
 
--- a/internal/conductor/knownred_members_test.go
+++ b/internal/conductor/members_test.go
@@ -1,5 +1,3 @@
-//go:build knownred
-
 package conductor
 
 import (
@@ -49,4 +47,12 @@
 		}
 		assert.True(t, d.messenger.SendLog(member, nil), "there is no link to the member")
 	})
+	t.Run("not to a former member", func(t *testing.T) {
+		const former = "127.0.0.8:7720"
+		d.openLink(former)
+		d.linkedMembers = []string{member, former}
+		d.linkMembers()
+		assert.False(t, d.messenger.SendLog(former, nil), "the link to the former member stays")
+		assert.True(t, d.messenger.SendLog(member, nil), "there is no link to the member")
+	})
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -89,6 +89,8 @@
 	// evacuations is the set in force. It is never replaced by one of a lower revision.
 	evacuations       atomic.Pointer[configurer.EvacuationSet]
 	evacuationFetcher fetcher
+	// memberVMs are the VMs of the members in the replica's log.
+	memberVMs atomic.Pointer[[]string]
 }
 
 // input is one event for the Keeper's goroutine: a message and its sender, a newly
@@ -127,6 +129,7 @@
 		stateMachine: configurer.New(), pendingResponses: map[uint64]chan *wire.Response{}, leaderCalls: map[uint64]*call{},
 	}
 	k.evacuations.Store(&configurer.EvacuationSet{})
+	k.memberVMs.Store(&[]string{})
 	if c.Disk == nil {
 		return k, nil
 	}
@@ -172,6 +175,7 @@
 	k.store = store
 	k.replica = replicator.New(k.config.Now(), k.identity, k.config.VM, saved, k.config.Timing, k.config.Seed)
 	k.active = k.stateMachine.Current()
+	k.publishMembers()
 	return saved, nil
 }
 
@@ -226,6 +230,7 @@
 	k.stepReplica(func(now time.Time, out *replicator.Effects) { k.replica.Tick(now, out) })
 	k.announceIfNotMember(k.config.Now())
 	k.maintainVoters(k.config.Now())
+	k.publishMembers()
 	k.fetchNext(k.config.Now())
 	k.fetchNextEvacuations(k.config.Now())
 }
--- a/internal/keeper/members.go
+++ b/internal/keeper/members.go
@@ -74,3 +74,20 @@
 		}, out)
 	})
 }
+
+// MemberVMs returns the VMs of the members in the replica's log, none on a VM without the
+// state role. It may be called from any goroutine; the slice must not be modified.
+func (k *Keeper) MemberVMs() []string { return *k.memberVMs.Load() }
+
+func (k *Keeper) publishMembers() {
+	if k.replica == nil {
+		return
+	}
+	var vms []string
+	for _, m := range k.replica.Status().Members {
+		vms = append(vms, m.VM)
+	}
+	if !slices.Equal(vms, k.MemberVMs()) {
+		k.memberVMs.Store(&vms)
+	}
+}
