--- a/internal/replicator/election.go
+++ b/internal/replicator/election.go
@@ -6,7 +6,7 @@
 
 func (r *Replicator) resetElectionTimer(now time.Time) {
 	jitter := time.Duration(r.random.Int64N(int64(r.timing.ElectionTimeout)))
-	r.electionDeadline = now.Add(r.timing.ElectionTimeout + jitter)
+	r.electionDeadline = now.Add(r.silenceTimeout() + jitter)
 }
 
 // hasActiveLeader reports whether this replica leads, or heard from a leader within
@@ -155,7 +155,7 @@
 
 func (r *Replicator) isReachable(now time.Time, id string) bool {
 	p := r.progress[id]
-	return id == r.id || p != nil && now.Sub(p.lastContact) < r.timing.ElectionTimeout
+	return id == r.id || p != nil && now.Sub(p.lastContact) < r.silenceTimeout()
 }
 
 func (r *Replicator) sendHeartbeats(now time.Time) {
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -60,6 +60,8 @@
 	firstUnsaved     uint64
 	termStartIndex   uint64
 	managesVoters    bool
+	// syncTime is the longest of the recent syncs.
+	syncTime time.Duration
 	// savedCommit is the commit index on disk.
 	savedCommit uint64
 }
@@ -149,6 +151,8 @@
 	r.effects = out
 	if r.commit > r.savedCommit {
 		r.saveHardState()
+		// The followers save it at the same time.
+		r.nextHeartbeat = now
 	}
 	switch {
 	case r.role == Leader:
@@ -241,6 +245,7 @@
 // collectEffects completes the effects of the current call with the state and entries
 // to save, the entries to apply and the reads to answer.
 func (r *Replicator) collectEffects() {
+	r.separateRequests()
 	if r.hardState != r.savedHardState {
 		r.saveHardState()
 	}
@@ -257,6 +262,55 @@
 	r.effects = nil
 }
 
+// separateRequests moves the requests that need not wait for a sync. The responses to a vote
+// request are handled after the sync of this replica's own vote. Entries must not be sent in a
+// term that is not saved, in which this replica might send others after a restart.
+func (r *Replicator) separateRequests() {
+	isTermSaved := r.hardState == r.savedHardState
+	var rest []Message
+	for _, m := range r.effects.Sends {
+		switch {
+		case m.Kind == PreVoteRequest, m.Kind == VoteRequest, m.Kind == Append && isTermSaved:
+			r.effects.Requests = append(r.effects.Requests, m)
+		default:
+			rest = append(rest, m)
+		}
+	}
+	r.effects.Sends = rest
+}
+
+// Waited moves all deadlines by the time for which the caller has waited for a sync. The
+// messages that arrived meanwhile are not handled yet, so that nobody counts as silent for
+// it. A candidate gives the voters the same time for their own sync.
+func (r *Replicator) Waited(d time.Duration) {
+	r.syncTime = min(max(d, r.syncTime-r.syncTime/syncTimeDecay), maxSyncTime)
+	if d <= 0 {
+		return
+	}
+	r.electionDeadline = r.electionDeadline.Add(d)
+	if r.role == Candidate {
+		r.electionDeadline = r.electionDeadline.Add(d)
+	}
+	r.leaderContactAt = r.leaderContactAt.Add(d)
+	r.quorumCheckedAt = r.quorumCheckedAt.Add(d)
+	for _, p := range r.progress {
+		p.lastContact = p.lastContact.Add(d)
+	}
+}
+
+const (
+	// syncTimeDecay is the reciprocal of the part by which syncTime shrinks with each sync.
+	syncTimeDecay = 8
+	// maxSyncTime limits how long a replica that is lost may count as one that syncs.
+	maxSyncTime = 2 * time.Second
+)
+
+// silenceTimeout is the time without a message after which a member counts as unreachable.
+// It may handle none while it syncs, for which its disk takes as long as this one's.
+func (r *Replicator) silenceTimeout() time.Duration {
+	return r.timing.ElectionTimeout + r.syncTime
+}
+
 func (r *Replicator) saveHardState() {
 	state := r.hardState
 	state.Commit = r.commit
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -50,6 +50,8 @@
 
 // Open reads a data folder and returns its saved state. A torn record at the end of
 // the log is truncated, and files that an interrupted SaveSnapshot has left are removed.
+// What is returned is synced: a process that was killed may have written it without a sync,
+// and the caller will not write it again.
 func Open(disk *Disk) (*Storer, replicator.Saved, error) {
 	s := &Storer{disk: disk}
 	var saved replicator.Saved
@@ -66,10 +68,19 @@
 			return nil, saved, err
 		}
 	}
+	discardReplaced(&saved)
 	s.hardState = saved.HardState
 	s.segment = segmentName(0)
 	if len(segments) > 0 {
 		s.segment = segments[len(segments)-1]
+		if err := disk.Sync(s.segment); err != nil {
+			return nil, saved, fmt.Errorf("storer: syncing the log: %w", err)
+		}
+	}
+	if len(names) > 0 {
+		if err := disk.SyncFolder(); err != nil {
+			return nil, saved, fmt.Errorf("storer: syncing the data folder: %w", err)
+		}
 	}
 	// What a failing disk does not remove now is removed with the next snapshot.
 	_ = s.removeObsolete()
@@ -80,6 +91,15 @@
 // snapshot. It includes entries that were replaced by others.
 func (s *Storer) GrowthBytes() int64 { return s.segmentSize - s.carriedBytes }
 
+// discardReplaced discards the entries of a diverged log that the snapshot has replaced. They
+// are still on the disk if the process was killed before it removed their segment. Terms do
+// not fall within a log.
+func discardReplaced(saved *replicator.Saved) {
+	if saved.Snapshot != nil && len(saved.Entries) > 0 && saved.Entries[0].Term < saved.Snapshot.Term {
+		saved.Entries = nil
+	}
+}
+
 // TruncatedBytes returns the size in bytes of a torn record that Open truncated.
 func (s *Storer) TruncatedBytes() int64 { return s.truncatedBytes }
 
