--- a/internal/storer/encoder.go
+++ b/internal/storer/encoder.go
@@ -44,36 +44,50 @@
 	return body
 }
 
+// recovery collects the saved state while the records of the log are read.
+type recovery struct {
+	saved *replicator.Saved
+	// isReplaced is set while the entries belong to a log that the snapshot has replaced.
+	isReplaced bool
+}
+
 // applyRecord adds one record to the saved state. An entry replaces all entries from
 // its index on.
-func applyRecord(saved *replicator.Saved, body []byte) error {
+func (r *recovery) applyRecord(body []byte) error {
 	w := &wire.Record{}
 	if err := proto.Unmarshal(body, w); err != nil {
 		return fmt.Errorf("storer: decoding a record: %w", err)
 	}
 	switch {
 	case w.GetHard() != nil:
-		saved.HardState = replicator.HardState{Term: w.GetHard().GetTerm(), Vote: w.GetHard().GetVote(), Commit: w.GetHard().GetCommit()}
+		r.saved.HardState = replicator.HardState{Term: w.GetHard().GetTerm(), Vote: w.GetHard().GetVote(), Commit: w.GetHard().GetCommit()}
 		return nil
 	case w.GetEntry() != nil:
-		return applyEntry(saved, DecodeEntry(w.GetEntry()))
+		return r.applyEntry(DecodeEntry(w.GetEntry()))
 	}
 	return errUnknownRecord
 }
 
-func applyEntry(saved *replicator.Saved, e replicator.Entry) error {
+// applyEntry adds an entry. Those up to the snapshot count only in so far as they replace the
+// ones after it, or show that these follow another entry than the snapshot's.
+func (r *recovery) applyEntry(e replicator.Entry) error {
 	first := uint64(1)
-	if saved.Snapshot != nil {
-		first = saved.Snapshot.Index + 1
+	if snapshot := r.saved.Snapshot; snapshot != nil {
+		first = snapshot.Index + 1
+		if e.Index <= snapshot.Index {
+			r.saved.Entries = nil
+			r.isReplaced = e.Index == snapshot.Index && e.Term != snapshot.Term
+			return nil
+		}
 	}
-	if e.Index < first {
+	if r.isReplaced {
 		return nil
 	}
 	position := e.Index - first
-	if position > uint64(len(saved.Entries)) {
-		return fmt.Errorf("storer: entry %d does not follow entry %d", e.Index, first+uint64(len(saved.Entries))-1)
+	if position > uint64(len(r.saved.Entries)) {
+		return fmt.Errorf("storer: entry %d does not follow entry %d", e.Index, first+uint64(len(r.saved.Entries))-1)
 	}
-	saved.Entries = append(saved.Entries[:position], e)
+	r.saved.Entries = append(r.saved.Entries[:position], e)
 	return nil
 }
 
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/crc32"
 	"io/fs"
+	"slices"
 	"strings"
 
 	"bronzedrift.example/bronzedrift/internal/replicator"
@@ -17,13 +18,20 @@
 	segment     string
 	segmentSize int64
 	// carriedBytes is the part of the segment that was written with the last snapshot.
-	carriedBytes   int64
+	carriedBytes int64
+	// isSegmentNamed is set once the name of the segment is synced.
+	isSegmentNamed bool
+	// unfinished is set if the snapshot was saved and its segment was not.
+	unfinished     *segmentStart
 	snapshotIndex  uint64
 	hardState      replicator.HardState
 	truncatedBytes int64
 	appendPending  bool
 }
 
+// segmentStart is what a new segment begins with, after the hard state.
+type segmentStart struct{ entries []replicator.Entry }
+
 // CorruptError reports a damaged record that is not a torn write at the end of the
 // log.
 type CorruptError struct {
@@ -63,12 +71,16 @@
 		return nil, saved, err
 	}
 	segments := withPrefix(names, segmentPrefix)
+	if i := slices.Index(segments, segmentName(s.snapshotIndex)); i >= 0 {
+		// It has all that counts of the older ones.
+		segments = segments[i:]
+	}
+	recovered := recovery{saved: &saved}
 	for i, name := range segments {
-		if err := s.readSegment(name, i == len(segments)-1, &saved); err != nil {
+		if err := s.readSegment(name, i == len(segments)-1, &recovered); err != nil {
 			return nil, saved, err
 		}
 	}
-	discardReplaced(&saved)
 	s.hardState = saved.HardState
 	s.segment = segmentName(0)
 	if len(segments) > 0 {
@@ -82,6 +94,10 @@
 			return nil, saved, fmt.Errorf("storer: syncing the data folder: %w", err)
 		}
 	}
+	s.isSegmentNamed = len(segments) > 0
+	if s.segment != segmentName(s.snapshotIndex) {
+		s.unfinished = &segmentStart{entries: slices.Clone(saved.Entries)}
+	}
 	// What a failing disk does not remove now is removed with the next snapshot.
 	_ = s.removeObsolete()
 	return s, saved, nil
@@ -91,15 +107,6 @@
 // snapshot. It includes entries that were replaced by others.
 func (s *Storer) GrowthBytes() int64 { return s.segmentSize - s.carriedBytes }
 
-// discardReplaced discards the entries of a diverged log that the snapshot has replaced. They
-// are still on the disk if the process was killed before it removed their segment. Terms do
-// not fall within a log.
-func discardReplaced(saved *replicator.Saved) {
-	if saved.Snapshot != nil && len(saved.Entries) > 0 && saved.Entries[0].Term < saved.Snapshot.Term {
-		saved.Entries = nil
-	}
-}
-
 // TruncatedBytes returns the size in bytes of a torn record that Open truncated.
 func (s *Storer) TruncatedBytes() int64 { return s.truncatedBytes }
 
@@ -139,6 +146,13 @@
 	if hard == nil && len(entries) == 0 {
 		return nil
 	}
+	if s.unfinished != nil {
+		// In the old segment, entries of this log could not be told from those of a log that
+		// the snapshot has replaced.
+		if err := s.startSegment(s.unfinished.entries); err != nil {
+			return err
+		}
+	}
 	var data []byte
 	if hard != nil {
 		data = appendRecord(data, encodeHard(hard))
@@ -147,7 +161,6 @@
 	for i := range entries {
 		data = appendRecord(data, encodeEntry(&entries[i]))
 	}
-	isNew := s.segmentSize == 0
 	if err := s.truncateFailedAppend(); err != nil {
 		return err
 	}
@@ -158,11 +171,14 @@
 	if err := s.disk.Sync(s.segment); err != nil {
 		return fmt.Errorf("storer: syncing the log: %w", err)
 	}
+	if !s.isSegmentNamed {
+		if err := s.disk.SyncFolder(); err != nil {
+			return fmt.Errorf("storer: syncing the data folder: %w", err)
+		}
+		s.isSegmentNamed = true
+	}
 	s.appendPending = false
 	s.segmentSize += int64(len(data))
-	if isNew {
-		return s.disk.SyncFolder()
-	}
 	return nil
 }
 
@@ -194,15 +210,21 @@
 	if err := s.removeObsolete(); err != nil {
 		return err
 	}
+	return s.startSegment(following)
+}
+
+// startSegment writes the segment that follows the latest snapshot and removes older files.
+func (s *Storer) startSegment(following []replicator.Entry) error {
 	data := appendRecord(nil, encodeHard(&s.hardState))
 	for i := range following {
 		data = appendRecord(data, encodeEntry(&following[i]))
 	}
-	name := segmentName(snapshot.Index)
+	name := segmentName(s.snapshotIndex)
 	if err := s.writeAtomically(name, data); err != nil {
 		return err
 	}
 	s.segment, s.segmentSize, s.carriedBytes, s.appendPending = name, int64(len(data)), int64(len(data)), false
+	s.isSegmentNamed, s.unfinished = true, nil
 	return s.removeObsolete()
 }
 
@@ -271,7 +293,7 @@
 }
 
 // readSegment adds the records of one segment to the saved state.
-func (s *Storer) readSegment(name string, isLast bool, saved *replicator.Saved) error {
+func (s *Storer) readSegment(name string, isLast bool, recovered *recovery) error {
 	data, err := s.disk.Read(name)
 	if err != nil {
 		return fmt.Errorf("storer: reading %s: %w", name, err)
@@ -289,7 +311,7 @@
 			}
 			break
 		}
-		if err := applyRecord(saved, body); err != nil {
+		if err := recovered.applyRecord(body); err != nil {
 			return &CorruptError{File: name, Offset: offset, Fault: err.Error()}
 		}
 		offset += size
