Replicator: bound the proposals that are not committed by bytes

A leader that reaches no quorum for its entries accepted large changes without a bound. They can't be compacted, so that they filled the disk and the memory of the leader: its Keeper was blocked, and the group had lost one more state VM when the others came back.

Evidence, before: TestUncommittedChangesStayBounded "the Keeper is blocked" for 150 changes of 0.5 MiB on 128 MB.

A proposal of more than 64 KiB is refused now while it would bring the payloads that are not committed above 16 MiB, unless there are none. Small ones, such as evacuations, are always accepted.

After: the log stays below 32 MiB and the disk below 64 MiB; an evacuation that was ordered meanwhile and the next change are acknowledged once the entries pass again.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -112,8 +112,9 @@
 	// minCompactionBytes and by the size of the last snapshot.
 	//
 	// With configurations of up to c bytes, above minCompactionBytes, a snapshot has about c
-	// bytes, and the log grows to less than 2c before it is compacted. The disk then holds two
-	// snapshots and the log: 4c, and the entries that were not committed at the last compaction.
+	// bytes, and the log grows by less than 2c before it is compacted. The disk then holds two
+	// snapshots and the log: 4c, and what was not committed at the last compaction, which the
+	// replicator bounds by 16 MiB.
 	entriesPerCompaction = 1000
 	minCompactionBytes   = 8 << 20
 	// diskRetryInterval is the pause before a failed write is retried. One in
--- a/internal/keeper/request.go
+++ b/internal/keeper/request.go
@@ -218,10 +218,15 @@
 	k.proposeEntry(w, payload)
 }
 
-// proposeEntry proposes an entry whose commit answers the request.
+// proposeEntry proposes an entry whose commit answers the request. If the log has no room for
+// it, a repetition of the request proposes it.
 func (k *Keeper) proposeEntry(w *wire.Request, payload []byte) {
 	k.leaderCalls[w.GetNumber()] = &call{request: w, term: k.replica.Status().Term}
-	k.stepReplica(func(now time.Time, out *replicator.Effects) { _, _ = k.replica.Propose(now, payload, out) })
+	var err error
+	k.stepReplica(func(now time.Time, out *replicator.Effects) { _, err = k.replica.Propose(now, payload, out) })
+	if err != nil {
+		delete(k.leaderCalls, w.GetNumber())
+	}
 }
 
 // isProposed reports whether a request was proposed in the current term. An entry of an
--- a/internal/keeper/size_test.go
+++ b/internal/keeper/size_test.go
@@ -417,3 +417,31 @@
 		})
 	}
 }
+
+// Large changes that cannot be committed must not fill the log of a leader, and must not keep
+// small orders out of it.
+func TestUncommittedChangesStayBounded(t *testing.T) {
+	inServiceCluster(t, serviceDiskBytes, func(t *testing.T, c *testCluster, disks map[string]*limitedDisk) {
+		leader := c.leader()
+		c.drop(func(_, _ string, m *wire.StateMessage) bool { return len(m.GetLog().GetEntries()) > 0 })
+		for i := range 150 {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+			_, err := c.keeper(leader).Change(ctx, largeChange(i+1, largeTextBytes))
+			cancel()
+			require.ErrorIs(t, err, ErrUnavailable)
+		}
+		assert.LessOrEqual(t, c.logBytes(leader), 2*maxTextBytes)
+		require.Equal(t, leader, c.leader())
+		ordered := make(chan error, 1)
+		go func() {
+			_, _, err := c.order(leader, "east", true, largeChangeTime)
+			ordered <- err
+		}()
+		time.Sleep(linkLatency)
+		assert.Less(t, disks[leader].peak, serviceDiskBytes/2)
+		c.release()
+		require.NoError(t, <-ordered)
+		c.mustChangeLarge(leader, largeChange(1000, largeTextBytes))
+		c.assertRead(1000, largeTextBytes)
+	})
+}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -22,6 +22,8 @@
 var (
 	// ErrNotLeader is returned by a replica that is not the leader.
 	ErrNotLeader = errors.New("replicator: not the leader")
+	// ErrBacklog is returned while too many bytes of earlier proposals are not committed.
+	ErrBacklog = errors.New("replicator: earlier proposals are not committed")
 	// ErrPendingChange is returned while an earlier membership change, or the first
 	// entry of the leader's term, is not committed.
 	ErrPendingChange = errors.New("replicator: a change of the members is under way")
@@ -197,11 +199,31 @@
 	}
 }
 
-// Propose appends an entry if this replica is the leader, and returns its index.
+// maxUncommittedBytes bounds the payloads of the entries that a leader has proposed and that
+// are not committed, since they can't be compacted. One larger entry is accepted while there is
+// no other, and entries of up to smallProposalBytes always: they do not wait for large ones.
+const (
+	maxUncommittedBytes = 16 << 20
+	smallProposalBytes  = 64 << 10
+)
+
+func (r *Replicator) hasBacklog(payload []byte) bool {
+	uncommitted := 0
+	for index := r.commit + 1; index <= r.log.lastIndex(); index++ {
+		uncommitted += len(r.log.entryAt(index).Payload)
+	}
+	return len(payload) > smallProposalBytes && uncommitted > 0 && uncommitted+len(payload) > maxUncommittedBytes
+}
+
+// Propose appends an entry if this replica is the leader, and returns its index. It fails with
+// ErrBacklog if the log has no room for it.
 func (r *Replicator) Propose(now time.Time, payload []byte, out *Effects) (uint64, error) {
 	if r.role != Leader {
 		return 0, ErrNotLeader
 	}
+	if r.hasBacklog(payload) {
+		return 0, ErrBacklog
+	}
 	r.effects = out
 	e := Entry{Index: r.log.lastIndex() + 1, Term: r.hardState.Term, Payload: payload}
 	r.appendEntries([]Entry{e})
