Conductor: a failed write of the memory file leaves no part of it

On a full disk, what was written of the file of upstreams and VMs stayed there until the next write, which takes place only when they change, and took the room that the replicated log needs. TestFailedMemoryWriteLeavesNoFile failed before: "Should be empty, but was [upstreams.new]". The part is removed now.

--- a/internal/conductor/memory.go
+++ b/internal/conductor/memory.go
@@ -152,6 +152,8 @@
 		d.disk.SyncFolder,
 	} {
 		if err := step(); err != nil {
+			// The replicated log may need the room.
+			_ = d.disk.Remove(memoryTempFile)
 			return fmt.Errorf("conductor: writing the memory file: %w", err)
 		}
 	}
