Keeper: requests go to the other state VMs too

Users saw 503 for reads and changes of the configuration while a quorum was well: a state VM asked its own replica alone, in the Keeper's goroutine. A disk without room blocks that goroutine, and a replica without a link to the leader knows none.

A requester, which does not use that goroutine, asks the VM's own replica first and at each repeat the next state VM, and takes the response as it comes. A repeat names no origin: the VM that is asked hands back the response, since the leader may not reach the origin. Reads are confirmed by the leader as before.

The tests failed before with "the state VMs have not answered; the outcome is unknown", for a read within 0.9 s and a change within 3 s, on a VM with a full disk and on one without a link to the leader. They pass now.

Three tests of delayed orders held back the requests by their origin, or in the queue of one VM, and expected that the order fails. It now passes by another VM, so that they hold back all requests of that VM: what they check of the delayed order is the same.

--- a/internal/keeper/evacuation.go
+++ b/internal/keeper/evacuation.go
@@ -31,7 +31,7 @@
 		return configurer.Evacuation{}, fmt.Errorf("keeper: %w", err)
 	}
 	for isWaiting() {
-		r, err := k.request(ctx, &wire.Request{Kind: requestEvacuate, Change: configurer.EvacuationToWire(ch)})
+		r, err := k.requester.request(ctx, &wire.Request{Kind: requestEvacuate, Change: configurer.EvacuationToWire(ch)})
 		if err != nil {
 			return configurer.Evacuation{}, err
 		}
@@ -74,7 +74,7 @@
 
 // ReadEvacuations is a linearizable read of the evacuations.
 func (k *Keeper) ReadEvacuations(ctx context.Context) (configurer.EvacuationSet, error) {
-	r, err := k.request(ctx, &wire.Request{Kind: requestReadEvacuations})
+	r, err := k.requester.request(ctx, &wire.Request{Kind: requestReadEvacuations})
 	if err != nil {
 		return configurer.EvacuationSet{}, err
 	}
--- a/internal/keeper/evacuation_test.go
+++ b/internal/keeper/evacuation_test.go
@@ -132,7 +132,7 @@
 		"on the way to the leader": func(c *testCluster) func(from, to string, m *wire.StateMessage) bool {
 			leader := c.leader()
 			return func(_, to string, m *wire.StateMessage) bool {
-				return to == leader && isRequest(m) && m.GetRequest().GetOrigin() == "e1"
+				return to == leader && isRequest(m) && m.GetRequest().GetOrigin() != "e2"
 			}
 		},
 	} {
@@ -164,15 +164,17 @@
 		}
 	}
 	// The VM's own keeper is busy, with a slow disk for example, and sends the request when
-	// it has learnt of the opposite order.
+	// it has learnt of the opposite order. The repeats to other VMs are late too.
 	t.Run("in the queue of its own VM", func(t *testing.T) {
 		inCluster(t, 3, 2, func(_ *testing.T, c *testCluster) {
 			vm := c.follower()
 			gate := make(chan struct{})
 			c.keeper(vm).enqueue(input{run: func(time.Time) { <-gate }})
+			c.keep(func(from, _ string, m *wire.StateMessage) bool { return from == vm && isRequest(m) })
 			c.mustFail(vm, "east", true)
 			c.mustOrder("e2", "east", false)
 			time.Sleep(settleTime)
+			assert.Positive(c.t, c.release())
 			close(gate)
 			c.assertAgreed()
 		})
@@ -192,8 +194,8 @@
 // when it resumes, and proposes the order again though its caller has given up.
 func TestNoProposalAfterTheDeadline(t *testing.T) {
 	inCluster(t, 3, 2, func(t *testing.T, c *testCluster) {
-		c.keep(func(_, to string, m *wire.StateMessage) bool {
-			return to == "e1" && isResponse(m) || m.GetRequest().GetOrigin() == "e1"
+		c.keep(func(from, to string, m *wire.StateMessage) bool {
+			return to == "e1" && isResponse(m) || from == "e1" && isRequest(m)
 		})
 		result := make(chan error, 1)
 		go func() {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -40,7 +40,7 @@
 
 // Handlers are called by a Keeper's goroutine and must not block.
 type Handlers struct {
-	// Send sends a message to another VM.
+	// Send sends a message to another VM. It is called by the goroutines of callers too.
 	Send func(vm string, m *wire.StateMessage)
 	// Broadcast sends a message to all reachable VMs.
 	Broadcast func(m *wire.StateMessage)
@@ -79,9 +79,8 @@
 	snapshot               *replicator.Snapshot
 	active                 configurer.Configuration
 	identity               string
-	pendingResponses       map[uint64]chan *wire.Response
+	requester              *requester
 	leaderCalls            map[uint64]*call
-	nextStateVM            int
 	appliedSinceCompaction int
 	announcedAt            time.Time
 	guard                  supervisor.Guard
@@ -112,7 +111,6 @@
 const (
 	inputQueueLength     = 1024
 	tickInterval         = 25 * time.Millisecond
-	requestRetryInterval = 300 * time.Millisecond
 	entriesPerCompaction = 1000
 	// diskRetryInterval is the pause before a failed write is retried. One in
 	// failuresPerDiskReport failures is reported, about once a second.
@@ -124,12 +122,14 @@
 func New(c Config, h Handlers) (*Keeper, error) {
 	k := &Keeper{
 		config: c, handlers: h, inputs: make(chan input, inputQueueLength), done: make(chan struct{}),
-		stateMachine: configurer.New(), pendingResponses: map[uint64]chan *wire.Response{}, leaderCalls: map[uint64]*call{},
+		stateMachine: configurer.New(), leaderCalls: map[uint64]*call{},
 	}
+	k.requester = newRequester(c, h, k.done)
 	k.evacuations.Store(&configurer.EvacuationSet{})
 	if c.Disk == nil {
 		return k, nil
 	}
+	k.requester.askOwn = k.tryRequest
 	saved, err := k.open()
 	if err != nil {
 		return nil, err
@@ -248,8 +248,12 @@
 	}
 }
 
-// Receive queues a message from another VM.
+// Receive queues a message from another VM. A response goes to its caller at once.
 func (k *Keeper) Receive(from string, m *wire.StateMessage) {
+	if response := m.GetResponse(); response != nil {
+		k.requester.receive(response)
+		return
+	}
 	k.enqueue(input{from: from, message: m})
 }
 
@@ -281,9 +285,7 @@
 		}
 		k.stepReplica(func(now time.Time, out *replicator.Effects) { k.replica.Handle(now, m, out) })
 	case in.message.GetRequest() != nil:
-		k.handleRequest(now, in.message.GetRequest())
-	case in.message.GetResponse() != nil:
-		k.deliverResponse(in.message.GetResponse())
+		k.handleRequest(in.from, in.message.GetRequest())
 	case in.message.GetConfiguration() != nil:
 		k.receiveConfiguration(now, in.message.GetConfiguration())
 	case in.message.GetEvacuations() != nil:
--- a/internal/keeper/request.go
+++ b/internal/keeper/request.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
 	"time"
 
 	"bronzedrift.example/bronzedrift/internal/configurer"
@@ -33,7 +31,7 @@
 // Change submits a change and waits for its outcome. A retry with the same ID has the
 // same outcome.
 func (k *Keeper) Change(ctx context.Context, ch configurer.Change) (configurer.Outcome, error) {
-	r, err := k.request(ctx, &wire.Request{
+	r, err := k.requester.request(ctx, &wire.Request{
 		Kind: requestChange, Change: &wire.Change{Id: ch.ID, BaseVersion: ch.BaseVersion, Version: ch.Version, Text: ch.Text},
 	})
 	if err != nil {
@@ -45,7 +43,7 @@
 
 // Read is a linearizable read of the newest configuration and its history.
 func (k *Keeper) Read(ctx context.Context) (View, error) {
-	r, err := k.request(ctx, &wire.Request{Kind: requestRead})
+	r, err := k.requester.request(ctx, &wire.Request{Kind: requestRead})
 	if err != nil {
 		return View{}, err
 	}
@@ -58,7 +56,7 @@
 
 // ReadCurrent is a linearizable read of the newest version without its history.
 func (k *Keeper) ReadCurrent(ctx context.Context) (configurer.Configuration, error) {
-	r, err := k.request(ctx, &wire.Request{Kind: requestCurrent})
+	r, err := k.requester.request(ctx, &wire.Request{Kind: requestCurrent})
 	if err != nil {
 		return configurer.Configuration{}, err
 	}
@@ -67,7 +65,7 @@
 
 // Remove removes a VM's disk from the group unless that would lose the quorum.
 func (k *Keeper) Remove(ctx context.Context, vm string) error {
-	_, err := k.request(ctx, &wire.Request{Kind: requestRemove, Vm: vm})
+	_, err := k.requester.request(ctx, &wire.Request{Kind: requestRemove, Vm: vm})
 	return err
 }
 
@@ -118,50 +116,13 @@
 	}
 }
 
-// request dispatches a request every requestRetryInterval until it is answered. All
-// requests are safe to retry.
-func (k *Keeper) request(ctx context.Context, w *wire.Request) (*wire.Response, error) {
-	answer := make(chan *wire.Response, 1)
-	w.Origin = k.config.VM
-	k.enqueue(input{run: func(now time.Time) {
-		// The leader tells the requests of all VMs apart by their numbers.
-		w.Number = rand.Uint64()
-		k.pendingResponses[w.Number] = answer
-		k.dispatch(now, w)
-	}})
-	ticker := time.NewTicker(requestRetryInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case r := <-answer:
-			if r.GetError() != "" {
-				return nil, &RefusedError{Message: r.GetError()}
-			}
-			return r, nil
-		case <-ticker.C:
-			k.enqueue(input{run: func(now time.Time) { k.dispatch(now, w) }})
-		case <-ctx.Done():
-			k.enqueue(input{run: func(time.Time) { delete(k.pendingResponses, w.GetNumber()) }})
-			return nil, errors.Join(ErrUnavailable, ctx.Err())
-		case <-k.done:
-			return nil, ErrUnavailable
-		}
-	}
-}
-
-// dispatch sends a request of this VM to a replica: its own, or else that of the next
-// state VM.
-func (k *Keeper) dispatch(now time.Time, w *wire.Request) {
-	if k.replica != nil {
-		k.handleRequest(now, cloneRequest(w, false))
-		return
-	}
-	vms := k.config.StateVMs()
-	if len(vms) == 0 {
-		return
+// tryRequest hands a request of this VM to its replica. While the queue is full it drops it,
+// since another replica is asked next.
+func (k *Keeper) tryRequest(w *wire.Request) {
+	select {
+	case k.inputs <- input{message: &wire.StateMessage{Request: w}}:
+	default:
 	}
-	k.nextStateVM++
-	k.handlers.Send(vms[k.nextStateVM%len(vms)], &wire.StateMessage{Request: w})
 }
 
 func cloneRequest(w *wire.Request, forwarded bool) *wire.Request {
@@ -172,8 +133,9 @@
 }
 
 // handleRequest handles a request if this replica is the leader, or else forwards it
-// to the leader, unless it was forwarded already.
-func (k *Keeper) handleRequest(_ time.Time, w *wire.Request) {
+// to the leader, unless it was forwarded already. The response to a request that names no
+// origin goes to its sender.
+func (k *Keeper) handleRequest(from string, w *wire.Request) {
 	if k.replica == nil {
 		return
 	}
@@ -181,10 +143,13 @@
 	if status.Role != replicator.Leader {
 		delete(k.leaderCalls, w.GetNumber())
 		if !w.GetPassed() && status.LeaderVM != "" {
-			k.handlers.Send(status.LeaderVM, &wire.StateMessage{Request: cloneRequest(w, true)})
+			k.requester.pass(status.LeaderVM, from, w)
 		}
 		return
 	}
+	if w.GetOrigin() == "" {
+		w.Origin = from
+	}
 	switch w.GetKind() {
 	case requestChange:
 		k.propose(w)
@@ -277,17 +242,8 @@
 func (k *Keeper) reply(w *wire.Request, r *wire.Response) {
 	r.Number = w.GetNumber()
 	if w.GetOrigin() == k.config.VM {
-		k.deliverResponse(r)
+		k.requester.receive(r)
 		return
 	}
 	k.handlers.Send(w.GetOrigin(), &wire.StateMessage{Response: r})
 }
-
-func (k *Keeper) deliverResponse(r *wire.Response) {
-	answer := k.pendingResponses[r.GetNumber()]
-	if answer == nil {
-		return
-	}
-	delete(k.pendingResponses, r.GetNumber())
-	answer <- r
-}
