Keeper: propose a change once, and keep no texts of callers

The operator sends a change again each second, at any state VM and with a new request number, while it is not acknowledged. The leader appended each of them to the log, and kept each request with its text also after its caller had gone.

A change whose ID was proposed in this term and is not applied now only gets one more waiter. A version that is not higher than the committed one is answered as superseded without an entry: what is applied is stored by a quorum. Calls hold no text, and are forgotten 2 s after the last repeat.

Open: changes of different IDs that are not committed are bounded neither in number nor in bytes.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -68,19 +68,22 @@
 
 // Keeper manages the configuration in one daemon.
 type Keeper struct {
-	config                 Config
-	handlers               Handlers
-	inputs                 chan input
-	done                   chan struct{}
-	store                  *storer.Storer
-	replica                *replicator.Replicator
-	membersCheckedAt       time.Time
-	stateMachine           *configurer.Configurer
-	snapshot               *replicator.Snapshot
-	active                 configurer.Configuration
-	identity               string
-	requester              *requester
-	leaderCalls            map[uint64]*call
+	config           Config
+	handlers         Handlers
+	inputs           chan input
+	done             chan struct{}
+	store            *storer.Storer
+	replica          *replicator.Replicator
+	membersCheckedAt time.Time
+	stateMachine     *configurer.Configurer
+	snapshot         *replicator.Snapshot
+	active           configurer.Configuration
+	identity         string
+	requester        *requester
+	leaderCalls      map[uint64]*call
+	// proposedIn holds the terms in which this leader has proposed changes that are not
+	// applied, by the ID of the change.
+	proposedIn             map[string]uint64
 	appliedSinceCompaction int
 	announcedAt            time.Time
 	guard                  supervisor.Guard
@@ -101,11 +104,12 @@
 
 // call is a request that this replica must answer as the leader. index is the entry
 // whose commit completes a removal, and zero for other requests. term is that of the
-// proposal.
+// proposal, and askedAt the time at which the request last came. The request has no text.
 type call struct {
 	request *wire.Request
 	index   uint64
 	term    uint64
+	askedAt time.Time
 }
 
 const (
@@ -122,7 +126,7 @@
 func New(c Config, h Handlers) (*Keeper, error) {
 	k := &Keeper{
 		config: c, handlers: h, inputs: make(chan input, inputQueueLength), done: make(chan struct{}),
-		stateMachine: configurer.New(), leaderCalls: map[uint64]*call{},
+		stateMachine: configurer.New(), leaderCalls: map[uint64]*call{}, proposedIn: map[string]uint64{},
 	}
 	k.requester = newRequester(c, h, k.done)
 	k.evacuations.Store(&configurer.EvacuationSet{})
@@ -228,6 +232,7 @@
 	k.maintainVoters(k.config.Now())
 	k.fetchNext(k.config.Now())
 	k.fetchNextEvacuations(k.config.Now())
+	k.dropOldCalls(k.config.Now())
 }
 
 // runGuarded runs f. If it panics, the replica may be in an inconsistent state and starts
@@ -242,6 +247,7 @@
 		return
 	}
 	k.stateMachine, k.snapshot, k.leaderCalls = configurer.New(), nil, map[uint64]*call{}
+	k.proposedIn = map[string]uint64{}
 	k.appliedSinceCompaction = 0
 	if _, err := k.open(); err != nil {
 		panic(err)
@@ -446,6 +452,7 @@
 		return
 	}
 	o := k.stateMachine.Apply(ch)
+	delete(k.proposedIn, ch.ID)
 	for number, c := range k.leaderCalls {
 		if c.request.GetChange().GetId() == ch.ID {
 			delete(k.leaderCalls, number)
--- a/internal/keeper/request.go
+++ b/internal/keeper/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"bronzedrift.example/bronzedrift/internal/configurer"
@@ -22,6 +23,9 @@
 	requestReadEvacuations = "read-evacuations"
 )
 
+// callTTL is longer than the time between two repeats of a request.
+const callTTL = 2 * time.Second
+
 // View is the configuration as a linearizable read returns it.
 type View struct {
 	Current configurer.Configuration
@@ -156,7 +160,7 @@
 	case requestEvacuate:
 		k.proposeEvacuation(w)
 	case requestRead, requestCurrent, requestReadEvacuations:
-		k.leaderCalls[w.GetNumber()] = &call{request: w}
+		k.leaderCalls[w.GetNumber()] = &call{request: w, askedAt: k.config.Now()}
 		k.stepReplica(func(now time.Time, out *replicator.Effects) { _ = k.replica.Read(now, w.GetNumber(), out) })
 	case requestRemove:
 		k.remove(w)
@@ -172,7 +176,14 @@
 		k.replyOutcome(w, o)
 		return
 	}
-	if k.isProposed(w) {
+	// What is applied here is stored by a quorum.
+	if current := k.stateMachine.Current().Version; ch.Version > 0 && ch.Version <= current {
+		k.replyOutcome(w, configurer.Outcome{ID: ch.ID, Kind: configurer.Superseded, Version: current})
+		return
+	}
+	term := k.replica.Status().Term
+	k.awaitEntry(w, term)
+	if k.proposedIn[ch.ID] == term {
 		return
 	}
 	payload, err := configurer.EncodeChange(ch)
@@ -180,21 +191,50 @@
 		k.reply(w, &wire.Response{Error: err.Error()})
 		return
 	}
-	k.proposeEntry(w, payload)
+	k.proposedIn[ch.ID] = term
+	k.stepReplica(func(now time.Time, out *replicator.Effects) { _, _ = k.replica.Propose(now, payload, out) })
 }
 
 // proposeEntry proposes an entry whose commit answers the request.
 func (k *Keeper) proposeEntry(w *wire.Request, payload []byte) {
-	k.leaderCalls[w.GetNumber()] = &call{request: w, term: k.replica.Status().Term}
+	k.awaitEntry(w, k.replica.Status().Term)
 	k.stepReplica(func(now time.Time, out *replicator.Effects) { _, _ = k.replica.Propose(now, payload, out) })
 }
 
-// isProposed reports whether a request was proposed in the current term. An entry of an
-// earlier term may have been replaced by those of another leader, so that a request from
-// then is proposed again.
+// awaitEntry notes that the commit of an entry proposed in a term answers the request.
+func (k *Keeper) awaitEntry(w *wire.Request, term uint64) {
+	k.leaderCalls[w.GetNumber()] = &call{request: withoutText(w), term: term, askedAt: k.config.Now()}
+}
+
+func withoutText(w *wire.Request) *wire.Request {
+	c := cloneRequest(w, false)
+	if ch := w.GetChange(); ch != nil {
+		c.Change = &wire.Change{Id: ch.GetId(), Version: ch.GetVersion()}
+	}
+	return c
+}
+
+// isProposed reports whether a request was proposed in the current term, and then notes
+// where its response goes now. An entry of an earlier term may have been replaced by those of
+// another leader, so that a request from then is proposed again.
 func (k *Keeper) isProposed(w *wire.Request) bool {
 	c := k.leaderCalls[w.GetNumber()]
-	return c != nil && c.term == k.replica.Status().Term
+	if c == nil || c.term != k.replica.Status().Term {
+		return false
+	}
+	c.askedAt, c.request.Origin = k.config.Now(), w.GetOrigin()
+	return true
+}
+
+// dropOldCalls forgets requests that were not repeated for long, since their callers are gone,
+// and the changes that were proposed in earlier terms.
+func (k *Keeper) dropOldCalls(now time.Time) {
+	maps.DeleteFunc(k.leaderCalls, func(_ uint64, c *call) bool { return now.Sub(c.askedAt) > callTTL })
+	if k.replica == nil || len(k.proposedIn) == 0 {
+		return
+	}
+	term := k.replica.Status().Term
+	maps.DeleteFunc(k.proposedIn, func(_ string, proposedIn uint64) bool { return proposedIn != term })
 }
 
 func (k *Keeper) remove(w *wire.Request) {
@@ -202,7 +242,9 @@
 		return
 	}
 	var err error
-	k.leaderCalls[w.GetNumber()] = &call{request: w, index: k.replica.LastIndex() + 1, term: k.replica.Status().Term}
+	k.leaderCalls[w.GetNumber()] = &call{
+		request: w, index: k.replica.LastIndex() + 1, term: k.replica.Status().Term, askedAt: k.config.Now(),
+	}
 	k.stepReplica(func(now time.Time, out *replicator.Effects) { err = k.replica.Remove(now, w.GetVm(), out) })
 	if err != nil {
 		delete(k.leaderCalls, w.GetNumber())
