--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -40,7 +40,7 @@
 
 // Handlers are called by a Keeper's goroutine and must not block.
 type Handlers struct {
-	// Send sends a message to another VM.
+	// Send sends a message to another VM. It is called by the goroutines of callers too.
 	Send func(vm string, m *wire.StateMessage)
 	// Broadcast sends a message to all reachable VMs.
 	Broadcast func(m *wire.StateMessage)
@@ -68,22 +68,24 @@
 
 // Keeper manages the configuration in one daemon.
 type Keeper struct {
-	config                 Config
-	handlers               Handlers
-	inputs                 chan input
-	load                   queueLoad
-	overflow               overflow
-	done                   chan struct{}
-	store                  *storer.Storer
-	replica                *replicator.Replicator
-	membersCheckedAt       time.Time
-	stateMachine           *configurer.Configurer
-	snapshot               *replicator.Snapshot
-	active                 configurer.Configuration
-	identity               string
-	pendingResponses       map[uint64]chan *wire.Response
-	leaderCalls            map[uint64]*call
-	nextStateVM            int
+	config           Config
+	handlers         Handlers
+	inputs           chan input
+	load             queueLoad
+	overflow         overflow
+	done             chan struct{}
+	store            *storer.Storer
+	replica          *replicator.Replicator
+	membersCheckedAt time.Time
+	stateMachine     *configurer.Configurer
+	snapshot         *replicator.Snapshot
+	active           configurer.Configuration
+	identity         string
+	requester        *requester
+	leaderCalls      map[uint64]*call
+	// proposedIn holds the terms in which this leader has proposed changes that are not
+	// applied, by the ID of the change.
+	proposedIn             map[string]uint64
 	appliedSinceCompaction int
 	announcedAt            time.Time
 	guard                  supervisor.Guard
@@ -99,17 +101,17 @@
 
 // call is a request that this replica must answer as the leader. index is the entry
 // whose commit completes a removal, and zero for other requests. term is that of the
-// proposal.
+// proposal, and askedAt the time at which the request last came. The request has no text.
 type call struct {
 	request *wire.Request
 	index   uint64
 	term    uint64
+	askedAt time.Time
 }
 
 const (
-	inputQueueLength     = 1024
-	tickInterval         = 25 * time.Millisecond
-	requestRetryInterval = 300 * time.Millisecond
+	inputQueueLength = 1024
+	tickInterval     = 25 * time.Millisecond
 	// The log is compacted after entriesPerCompaction entries, or once it has grown by
 	// minCompactionBytes and by the size of the last snapshot.
 	//
@@ -129,13 +131,15 @@
 func New(c Config, h Handlers) (*Keeper, error) {
 	k := &Keeper{
 		config: c, handlers: h, inputs: make(chan input, inputQueueLength), done: make(chan struct{}),
-		stateMachine: configurer.New(), pendingResponses: map[uint64]chan *wire.Response{}, leaderCalls: map[uint64]*call{},
+		stateMachine: configurer.New(), leaderCalls: map[uint64]*call{}, proposedIn: map[string]uint64{},
 	}
+	k.requester = newRequester(c, h, k.done)
 	k.evacuations.Store(&configurer.EvacuationSet{})
 	k.memberVMs.Store(&[]string{})
 	if c.Disk == nil {
 		return k, nil
 	}
+	k.requester.askOwn = k.tryRequest
 	saved, err := k.open()
 	if err != nil {
 		return nil, err
@@ -240,6 +244,7 @@
 	k.publishMembers()
 	k.fetchNext(k.config.Now())
 	k.fetchNextEvacuations(k.config.Now())
+	k.dropOldCalls(k.config.Now())
 	k.publishCondition(k.config.Now())
 	k.reportDrops(k.config.Now())
 }
@@ -256,6 +261,7 @@
 		return
 	}
 	k.stateMachine, k.snapshot, k.leaderCalls = configurer.New(), nil, map[uint64]*call{}
+	k.proposedIn = map[string]uint64{}
 	k.appliedSinceCompaction = 0
 	if _, err := k.open(); err != nil {
 		panic(err)
@@ -277,9 +283,7 @@
 		}
 		k.stepReplica(func(now time.Time, out *replicator.Effects) { k.replica.Handle(now, m, out) })
 	case in.message.GetRequest() != nil:
-		k.handleRequest(now, in.message.GetRequest())
-	case in.message.GetResponse() != nil:
-		k.deliverResponse(in.message.GetResponse())
+		k.handleRequest(in.from, in.message.GetRequest())
 	case in.message.GetConfiguration() != nil:
 		k.receiveConfiguration(now, in.message.GetConfiguration())
 	case in.message.GetEvacuations() != nil:
@@ -454,6 +458,7 @@
 		return
 	}
 	o := k.stateMachine.Apply(ch)
+	delete(k.proposedIn, ch.ID)
 	for number, c := range k.leaderCalls {
 		if c.request.GetChange().GetId() == ch.ID {
 			delete(k.leaderCalls, number)
--- a/internal/keeper/queue.go
+++ b/internal/keeper/queue.go
@@ -100,9 +100,14 @@
 // full.
 func (k *Keeper) DroppedInputs() uint64 { return k.load.dropped.Load() }
 
-// Receive queues a message from another VM. If the queue is full, it drops a message that the
-// sender repeats, since the link must go on to deliver heartbeats.
+// Receive queues a message from another VM; a response goes to its caller at once. If the queue
+// is full, it drops a message that the sender repeats, since the link must go on to deliver
+// heartbeats.
 func (k *Keeper) Receive(from string, m *wire.StateMessage) {
+	if response := m.GetResponse(); response != nil {
+		k.requester.receive(response)
+		return
+	}
 	k.offer(input{from: from, message: m, size: int64(proto.Size(m))})
 }
 
--- a/internal/keeper/request.go
+++ b/internal/keeper/request.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
+	"maps"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"bronzedrift.example/bronzedrift/internal/configurer"
 	"bronzedrift.example/bronzedrift/internal/messenger/wire"
 	"bronzedrift.example/bronzedrift/internal/recorder"
@@ -24,6 +25,9 @@
 	requestReadEvacuations = "read-evacuations"
 )
 
+// callTTL is longer than the time between two repeats of a request.
+const callTTL = 2 * time.Second
+
 // View is the configuration as a linearizable read returns it.
 type View struct {
 	Current configurer.Configuration
@@ -33,7 +37,7 @@
 // Change submits a change and waits for its outcome. A retry with the same ID has the
 // same outcome.
 func (k *Keeper) Change(ctx context.Context, ch configurer.Change) (configurer.Outcome, error) {
-	r, err := k.request(ctx, &wire.Request{
+	r, err := k.requester.request(ctx, &wire.Request{
 		Kind: requestChange, Change: &wire.Change{Id: ch.ID, BaseVersion: ch.BaseVersion, Version: ch.Version, Text: ch.Text},
 	})
 	if err != nil {
@@ -45,7 +49,7 @@
 
 // Read is a linearizable read of the newest configuration and its history.
 func (k *Keeper) Read(ctx context.Context) (View, error) {
-	r, err := k.request(ctx, &wire.Request{Kind: requestRead})
+	r, err := k.requester.request(ctx, &wire.Request{Kind: requestRead})
 	if err != nil {
 		return View{}, err
 	}
@@ -58,7 +62,7 @@
 
 // ReadCurrent is a linearizable read of the newest version without its history.
 func (k *Keeper) ReadCurrent(ctx context.Context) (configurer.Configuration, error) {
-	r, err := k.request(ctx, &wire.Request{Kind: requestCurrent})
+	r, err := k.requester.request(ctx, &wire.Request{Kind: requestCurrent})
 	if err != nil {
 		return configurer.Configuration{}, err
 	}
@@ -67,7 +71,7 @@
 
 // Remove removes a VM's disk from the group unless that would lose the quorum.
 func (k *Keeper) Remove(ctx context.Context, vm string) error {
-	_, err := k.request(ctx, &wire.Request{Kind: requestRemove, Vm: vm})
+	_, err := k.requester.request(ctx, &wire.Request{Kind: requestRemove, Vm: vm})
 	return err
 }
 
@@ -118,50 +122,10 @@
 	}
 }
 
-// request dispatches a request every requestRetryInterval until it is answered. All
-// requests are safe to retry.
-func (k *Keeper) request(ctx context.Context, w *wire.Request) (*wire.Response, error) {
-	answer := make(chan *wire.Response, 1)
-	w.Origin = k.config.VM
-	k.enqueue(input{run: func(now time.Time) {
-		// The leader tells the requests of all VMs apart by their numbers.
-		w.Number = rand.Uint64()
-		k.pendingResponses[w.Number] = answer
-		k.dispatch(now, w)
-	}})
-	ticker := time.NewTicker(requestRetryInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case r := <-answer:
-			if r.GetError() != "" {
-				return nil, &RefusedError{Message: r.GetError()}
-			}
-			return r, nil
-		case <-ticker.C:
-			k.enqueue(input{run: func(now time.Time) { k.dispatch(now, w) }})
-		case <-ctx.Done():
-			k.enqueue(input{run: func(time.Time) { delete(k.pendingResponses, w.GetNumber()) }})
-			return nil, errors.Join(ErrUnavailable, ctx.Err())
-		case <-k.done:
-			return nil, ErrUnavailable
-		}
-	}
-}
-
-// dispatch sends a request of this VM to a replica: its own, or else that of the next
-// state VM.
-func (k *Keeper) dispatch(now time.Time, w *wire.Request) {
-	if k.replica != nil {
-		k.handleRequest(now, cloneRequest(w, false))
-		return
-	}
-	vms := k.config.StateVMs()
-	if len(vms) == 0 {
-		return
-	}
-	k.nextStateVM++
-	k.handlers.Send(vms[k.nextStateVM%len(vms)], &wire.StateMessage{Request: w})
+// tryRequest hands a request of this VM to its replica. While the queue is full it drops it,
+// since another replica is asked next.
+func (k *Keeper) tryRequest(w *wire.Request) {
+	k.offer(input{message: &wire.StateMessage{Request: w}, size: int64(proto.Size(w))})
 }
 
 func cloneRequest(w *wire.Request, forwarded bool) *wire.Request {
@@ -172,8 +136,9 @@
 }
 
 // handleRequest handles a request if this replica is the leader, or else forwards it
-// to the leader, unless it was forwarded already.
-func (k *Keeper) handleRequest(_ time.Time, w *wire.Request) {
+// to the leader, unless it was forwarded already. The response to a request that names no
+// origin goes to its sender.
+func (k *Keeper) handleRequest(from string, w *wire.Request) {
 	if k.replica == nil {
 		return
 	}
@@ -181,17 +146,20 @@
 	if status.Role != replicator.Leader {
 		delete(k.leaderCalls, w.GetNumber())
 		if !w.GetPassed() && status.LeaderVM != "" {
-			k.handlers.Send(status.LeaderVM, &wire.StateMessage{Request: cloneRequest(w, true)})
+			k.requester.pass(status.LeaderVM, from, w)
 		}
 		return
 	}
+	if w.GetOrigin() == "" {
+		w.Origin = from
+	}
 	switch w.GetKind() {
 	case requestChange:
 		k.propose(w)
 	case requestEvacuate:
 		k.proposeEvacuation(w)
 	case requestRead, requestCurrent, requestReadEvacuations:
-		k.leaderCalls[w.GetNumber()] = &call{request: w}
+		k.leaderCalls[w.GetNumber()] = &call{request: w, askedAt: k.config.Now()}
 		k.stepReplica(func(now time.Time, out *replicator.Effects) { _ = k.replica.Read(now, w.GetNumber(), out) })
 	case requestRemove:
 		k.remove(w)
@@ -207,7 +175,14 @@
 		k.replyOutcome(w, o)
 		return
 	}
-	if k.isProposed(w) {
+	// What is applied here is stored by a quorum.
+	if current := k.stateMachine.Current().Version; ch.Version > 0 && ch.Version <= current {
+		k.replyOutcome(w, configurer.Outcome{ID: ch.ID, Kind: configurer.Superseded, Version: current})
+		return
+	}
+	term := k.replica.Status().Term
+	k.awaitEntry(w, term)
+	if k.proposedIn[ch.ID] == term {
 		return
 	}
 	payload, err := configurer.EncodeChange(ch)
@@ -215,26 +190,58 @@
 		k.reply(w, &wire.Response{Error: err.Error()})
 		return
 	}
-	k.proposeEntry(w, payload)
+	k.proposedIn[ch.ID] = term
+	if !k.proposeEntry(w, payload) {
+		delete(k.proposedIn, ch.ID)
+	}
 }
 
-// proposeEntry proposes an entry whose commit answers the request. If the log has no room for
-// it, a repetition of the request proposes it.
-func (k *Keeper) proposeEntry(w *wire.Request, payload []byte) {
-	k.leaderCalls[w.GetNumber()] = &call{request: w, term: k.replica.Status().Term}
+// proposeEntry proposes an entry whose commit answers the request. It reports false if the log
+// has no room for it: a repetition of the request proposes it.
+func (k *Keeper) proposeEntry(w *wire.Request, payload []byte) bool {
+	k.awaitEntry(w, k.replica.Status().Term)
 	var err error
 	k.stepReplica(func(now time.Time, out *replicator.Effects) { _, err = k.replica.Propose(now, payload, out) })
 	if err != nil {
 		delete(k.leaderCalls, w.GetNumber())
 	}
+	return err == nil
 }
 
-// isProposed reports whether a request was proposed in the current term. An entry of an
-// earlier term may have been replaced by those of another leader, so that a request from
-// then is proposed again.
+// awaitEntry notes that the commit of an entry proposed in a term answers the request.
+func (k *Keeper) awaitEntry(w *wire.Request, term uint64) {
+	k.leaderCalls[w.GetNumber()] = &call{request: withoutText(w), term: term, askedAt: k.config.Now()}
+}
+
+func withoutText(w *wire.Request) *wire.Request {
+	c := cloneRequest(w, false)
+	if ch := w.GetChange(); ch != nil {
+		c.Change = &wire.Change{Id: ch.GetId(), Version: ch.GetVersion()}
+	}
+	return c
+}
+
+// isProposed reports whether a request was proposed in the current term, and then notes
+// where its response goes now. An entry of an earlier term may have been replaced by those of
+// another leader, so that a request from then is proposed again.
 func (k *Keeper) isProposed(w *wire.Request) bool {
 	c := k.leaderCalls[w.GetNumber()]
-	return c != nil && c.term == k.replica.Status().Term
+	if c == nil || c.term != k.replica.Status().Term {
+		return false
+	}
+	c.askedAt, c.request.Origin = k.config.Now(), w.GetOrigin()
+	return true
+}
+
+// dropOldCalls forgets requests that were not repeated for long, since their callers are gone,
+// and the changes that were proposed in earlier terms.
+func (k *Keeper) dropOldCalls(now time.Time) {
+	maps.DeleteFunc(k.leaderCalls, func(_ uint64, c *call) bool { return now.Sub(c.askedAt) > callTTL })
+	if k.replica == nil || len(k.proposedIn) == 0 {
+		return
+	}
+	term := k.replica.Status().Term
+	maps.DeleteFunc(k.proposedIn, func(_ string, proposedIn uint64) bool { return proposedIn != term })
 }
 
 func (k *Keeper) remove(w *wire.Request) {
@@ -242,7 +249,9 @@
 		return
 	}
 	var err error
-	k.leaderCalls[w.GetNumber()] = &call{request: w, index: k.replica.LastIndex() + 1, term: k.replica.Status().Term}
+	k.leaderCalls[w.GetNumber()] = &call{
+		request: w, index: k.replica.LastIndex() + 1, term: k.replica.Status().Term, askedAt: k.config.Now(),
+	}
 	k.stepReplica(func(now time.Time, out *replicator.Effects) { err = k.replica.Remove(now, w.GetVm(), out) })
 	if err != nil {
 		delete(k.leaderCalls, w.GetNumber())
@@ -282,17 +291,8 @@
 func (k *Keeper) reply(w *wire.Request, r *wire.Response) {
 	r.Number = w.GetNumber()
 	if w.GetOrigin() == k.config.VM {
-		k.deliverResponse(r)
+		k.requester.receive(r)
 		return
 	}
 	k.handlers.Send(w.GetOrigin(), &wire.StateMessage{Response: r})
 }
-
-func (k *Keeper) deliverResponse(r *wire.Response) {
-	answer := k.pendingResponses[r.GetNumber()]
-	if answer == nil {
-		return
-	}
-	delete(k.pendingResponses, r.GetNumber())
-	answer <- r
-}
