--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -93,6 +93,8 @@
 	evacuationFetcher fetcher
 	condition         atomic.Pointer[Condition]
 	diskRefusedSince  atomic.Pointer[time.Time]
+	// memberVMs are the VMs of the members in the replica's log.
+	memberVMs atomic.Pointer[[]string]
 }
 
 // call is a request that this replica must answer as the leader. index is the entry
@@ -112,8 +114,9 @@
 	// minCompactionBytes and by the size of the last snapshot.
 	//
 	// With configurations of up to c bytes, above minCompactionBytes, a snapshot has about c
-	// bytes, and the log grows to less than 2c before it is compacted. The disk then holds two
-	// snapshots and the log: 4c, and the entries that were not committed at the last compaction.
+	// bytes, and the log grows by less than 2c before it is compacted. The disk then holds two
+	// snapshots and the log: 4c, and what was not committed at the last compaction, which the
+	// replicator bounds by 16 MiB.
 	entriesPerCompaction = 1000
 	minCompactionBytes   = 8 << 20
 	// diskRetryInterval is the pause before a failed write is retried. One in
@@ -129,6 +132,7 @@
 		stateMachine: configurer.New(), pendingResponses: map[uint64]chan *wire.Response{}, leaderCalls: map[uint64]*call{},
 	}
 	k.evacuations.Store(&configurer.EvacuationSet{})
+	k.memberVMs.Store(&[]string{})
 	if c.Disk == nil {
 		return k, nil
 	}
@@ -174,6 +178,7 @@
 	k.store = store
 	k.replica = replicator.New(k.config.Now(), k.identity, k.config.VM, saved, k.config.Timing, k.config.Seed)
 	k.active = k.stateMachine.Current()
+	k.publishMembers()
 	return saved, nil
 }
 
@@ -232,6 +237,7 @@
 	k.stepReplica(func(now time.Time, out *replicator.Effects) { k.replica.Tick(now, out) })
 	k.announceIfNotMember(k.config.Now())
 	k.maintainVoters(k.config.Now())
+	k.publishMembers()
 	k.fetchNext(k.config.Now())
 	k.fetchNextEvacuations(k.config.Now())
 	k.publishCondition(k.config.Now())
@@ -350,6 +356,9 @@
 		k.handlers.Event(recorder.Event{Number: recorder.ElectionWon, Task: recorder.NoTask})
 		k.broadcastEvacuations()
 	}
+	for i := range out.Requests {
+		k.send(&out.Requests[i])
+	}
 	k.save(out)
 	for i := range out.Sends {
 		k.send(&out.Sends[i])
@@ -377,6 +386,11 @@
 
 // save syncs the hard state, the entries and the snapshot of the effects.
 func (k *Keeper) save(out *replicator.Effects) {
+	if out.HardState == nil && len(out.Entries) == 0 && out.Snapshot == nil {
+		return
+	}
+	startedAt := k.config.Now()
+	defer func() { k.replica.Waited(k.config.Now().Sub(startedAt)) }()
 	k.retryWrite(func() error { return k.store.Save(out.HardState, out.Entries) })
 	if out.Snapshot != nil {
 		k.snapshot = out.Snapshot
