A cancellation is acknowledged once the VMs that start tasks have confirmed it

Cause: the entry sent the cancellation three times and acknowledged at once, without an answer of anyone.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -118,13 +118,15 @@
 	// stall.
 	lastClosedSession uint64
 	waiters           map[uint64]chan forwarder.Response
-	lastWaiter        uint64
-	holderEffects     holder.Effects
-	forwarderEffects  forwarder.Effects
-	metrics           metrics
-	budget            *recorder.Budget
-	guard             supervisor.Guard
-	memoryRequests    chan chan struct{}
+	// cancelWaiters are the callers that wait for the outcome of a cancellation.
+	cancelWaiters    map[uint64]chan bool
+	lastWaiter       uint64
+	holderEffects    holder.Effects
+	forwarderEffects forwarder.Effects
+	metrics          metrics
+	budget           *recorder.Budget
+	guard            supervisor.Guard
+	memoryRequests   chan chan struct{}
 }
 
 // session tracks the message delay of one inbound session.
@@ -179,7 +181,7 @@
 		config: c, handlers: h, log: log, now: now, incarnation: uuid.NewString(),
 		ring: recorder.New(c.Name, eventRingSize), peers: tracker.New(self),
 		inputs: make(chan func(time.Time), inputQueueSize), done: make(chan struct{}),
-		sessions: map[uint64]*session{}, unsyncedPeers: map[string]bool{}, waiters: map[uint64]chan forwarder.Response{}, metrics: newMetrics(),
+		sessions: map[uint64]*session{}, unsyncedPeers: map[string]bool{}, waiters: map[uint64]chan forwarder.Response{}, cancelWaiters: map[uint64]chan bool{}, metrics: newMetrics(),
 		budget:         recorder.NewBudget(maxLogLinesPerSecond, maxFaultLinesPerSecond),
 		memoryRequests: make(chan chan struct{}, memoryRequestQueueSize),
 	}
--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -38,8 +38,14 @@
 	for i := range f.Responses {
 		d.respond(f.Responses[i])
 	}
+	for _, c := range f.Cancellations {
+		if w := d.cancelWaiters[c.Waiter]; w != nil {
+			delete(d.cancelWaiters, c.Waiter)
+			w <- c.IsConfirmed
+		}
+	}
 	d.logDecisions(f.Decisions)
-	f.Sends, f.Responses, f.Decisions = f.Sends[:0], f.Responses[:0], f.Decisions[:0]
+	f.Sends, f.Responses, f.Cancellations, f.Decisions = f.Sends[:0], f.Responses[:0], f.Cancellations[:0], f.Decisions[:0]
 }
 
 // broadcastNotices sends each notice to the reachable state VMs and to the reachable
@@ -101,6 +107,11 @@
 func (d *Conductor) cancel(now time.Time, entry string, c forwarder.Cancel) {
 	if c.AllParts {
 		d.holder.CancelJob(now, entry, c.ID, &d.holderEffects)
+		if entry == d.config.Inner.String() {
+			d.forwarder.CancelConfirmed(now, entry, c.ID, &d.forwarderEffects)
+			return
+		}
+		d.send(now, entry, &wire.Relay{Body: &wire.Relay_Cancelled{Cancelled: &wire.JobCancelled{Id: c.ID}}})
 		return
 	}
 	d.holder.Withdraw(now, entry, c.ID, c.Part, c.Attempt, &d.holderEffects)
--- a/internal/conductor/receive.go
+++ b/internal/conductor/receive.go
@@ -56,6 +56,8 @@
 	case *wire.Relay_Cancel:
 		c := decodeCancel(b.Cancel)
 		d.cancel(now, from, c)
+	case *wire.Relay_Cancelled:
+		d.forwarder.CancelConfirmed(now, from, b.Cancelled.GetId(), &d.forwarderEffects)
 	case *wire.Relay_Answer:
 		answer, err := decodeAnswer(b.Answer)
 		if err != nil {
--- a/internal/conductor/requests.go
+++ b/internal/conductor/requests.go
@@ -42,9 +42,24 @@
 	}
 }
 
-// Cancel cancels a job on all holders.
-func (d *Conductor) Cancel(id string) {
-	d.enqueue(func(now time.Time) { d.forwarder.BroadcastCancel(now, id, &d.forwarderEffects) })
+// Cancel cancels a job. It reports whether no task of the job will start any more; if not, the
+// cancellation has to be sent again.
+func (d *Conductor) Cancel(ctx context.Context, id string) bool {
+	outcome := make(chan bool, 1)
+	if !d.enqueue(func(now time.Time) {
+		d.lastWaiter++
+		d.cancelWaiters[d.lastWaiter] = outcome
+		d.forwarder.Cancel(now, id, d.lastWaiter, &d.forwarderEffects)
+	}) {
+		return false
+	}
+	select {
+	case isConfirmed := <-outcome:
+		return isConfirmed
+	case <-ctx.Done():
+	case <-d.done:
+	}
+	return false
 }
 
 // HasJob reports whether a caller waits for the job on this VM.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -57,17 +57,19 @@
 type Effects struct {
 	Sends     []Send
 	Responses []Response
-	Decisions []holder.Decision
+	// Cancellations are the outcomes for callers that have cancelled a job.
+	Cancellations []CancelOutcome
+	Decisions     []holder.Decision
 }
 
 // Forwarder manages the jobs of an entry. It is not safe for concurrent use.
 type Forwarder struct {
-	dataCentre       string
-	timing           holder.Timing
-	peers            *tracker.Tracker
-	jobs             map[string]*job
-	lastAttempt      int
-	cancelBroadcasts []cancelBroadcast
+	dataCentre    string
+	timing        holder.Timing
+	peers         *tracker.Tracker
+	jobs          map[string]*job
+	lastAttempt   int
+	cancellations []*cancellation
 	// withdrawals are kept for resending until they expire, as they may be lost in transit.
 	withdrawals []withdrawal
 	// noHolderSince is the time since which no holder is reachable, zero while one is.
@@ -127,17 +129,7 @@
 	heartbeatAt time.Time
 }
 
-type cancelBroadcast struct {
-	jobID  string
-	nextAt time.Time
-	sends  int
-}
-
 const (
-	// A cancellation is sent several times, so that it also arrives over a link that is
-	// being reconnected.
-	cancelBroadcastSends    = 3
-	cancelBroadcastInterval = 400 * time.Millisecond
 	// Relayed messages are resent because a third VM does not report a message that it
 	// loses. Withdrawals are resent more often, since the wait for the leases to end
 	// (holder.Timing.MaxRunAfterLoss) does not become longer when one is lost.
@@ -504,19 +496,6 @@
 	f.withdrawals = remaining
 }
 
-// BroadcastCancel cancels a job at all known VMs, on behalf of its caller.
-func (f *Forwarder) BroadcastCancel(now time.Time, id string, out *Effects) {
-	f.out = out
-	f.sendCancelToAll(id)
-	f.cancelBroadcasts = append(f.cancelBroadcasts, cancelBroadcast{jobID: id, nextAt: now.Add(cancelBroadcastInterval), sends: 1})
-}
-
-func (f *Forwarder) sendCancelToAll(id string) {
-	for _, vm := range f.peers.Known() {
-		f.out.Sends = append(f.out.Sends, Send{To: vm, Cancel: &Cancel{ID: id, AllParts: true}})
-	}
-}
-
 // PeerUp resends the orders and withdrawals of a holder, which may have been lost with the
 // previous link. A holder that already has them is not affected.
 func (f *Forwarder) PeerUp(now time.Time, vm string, out *Effects) {
@@ -546,17 +525,7 @@
 	for _, j := range f.jobs {
 		f.checkJob(now, j)
 	}
-	remaining := f.cancelBroadcasts[:0]
-	for _, c := range f.cancelBroadcasts {
-		if !now.Before(c.nextAt) {
-			f.sendCancelToAll(c.jobID)
-			c.sends, c.nextAt = c.sends+1, now.Add(cancelBroadcastInterval)
-		}
-		if c.sends < cancelBroadcastSends {
-			remaining = append(remaining, c)
-		}
-	}
-	f.cancelBroadcasts = remaining
+	f.checkCancellations(now)
 	f.resendWithdrawals(now)
 }
 
