Replicator: a member whose first Append was lost is asked again

Cause, since: a heartbeat follows the last entry known to match, for a new member none, and is accepted; the Append that would show what it lacks was lost, and was not sent again until an entry followed.

An accepted answer now also starts a transfer while entries before the next one are not known to match.

--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -131,7 +131,8 @@
 	if p.isInFlight && m.Round > p.transferRound && now.Sub(p.transferAt) >= p.resendInterval() {
 		p.isInFlight = false
 	}
-	if p.next <= r.log.lastIndex() {
+	// A heartbeat is also accepted by a member that lacks the entries before next.
+	if p.next <= r.log.lastIndex() || p.match+1 < p.next {
 		r.replicate(now, m.From)
 	}
 	r.promoteIfCaughtUp(now, m.From)
--- a/internal/replicator/replication_test.go
+++ b/internal/replicator/replication_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -228,3 +229,15 @@
 	}
 	assert.Fail(t, fmt.Sprint("the read is not confirmed, commit ", l.commit))
 }
+
+// TestLostProbeIsRepeated guards against a new member that never gets the log: the first Append
+// after its addition was lost, and no entry follows.
+func TestLostProbeIsRepeated(t *testing.T) {
+	l := newTestLeader(t, true)
+	l.others["3"] = New(l.now, "3", "3", Saved{HardState: HardState{Term: 1}}, DefaultTiming(), 1)
+	l.step(func(out *Effects) { require.NoError(t, l.Add(l.now, "3", "3", out)) })
+	l.exchange("1", "2")
+	sent := l.advance(time.Second, "1", "2", "3")
+	assert.True(t, slices.ContainsFunc(sent, func(m Message) bool { return m.To == "3" && m.Kind == InstallSnapshot }),
+		"the new member is sent no snapshot")
+}
