--- a/internal/keeper/size_test.go
+++ b/internal/keeper/size_test.go
@@ -78,6 +78,13 @@
 	d.isRefusing = isRefusing
 }
 
+// peakBytes returns the most that the disk held at a time.
+func (d *limitedDisk) peakBytes() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.peak
+}
+
 func (d *limitedDisk) names() []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -241,8 +248,8 @@
 				c.assertRead(test.changes, test.size)
 				assert.LessOrEqual(t, peak, 3*maxTextBytes, "bytes of the log in memory")
 				for _, vm := range c.states {
-					t.Logf("%s: peak on disk %d bytes, in memory %d bytes", vm, disks[vm].peak, peak)
-					assert.Less(t, disks[vm].peak, serviceDiskBytes, vm)
+					t.Logf("%s: peak on disk %d bytes, in memory %d bytes", vm, disks[vm].peakBytes(), peak)
+					assert.Less(t, disks[vm].peakBytes(), serviceDiskBytes, vm)
 				}
 			})
 		})
@@ -327,7 +334,7 @@
 				size <- len(state)
 			}})
 			assert.LessOrEqual(t, <-size, maxTextBytes, "%s: bytes of a snapshot", vm)
-			assert.Less(t, disks[vm].peak, serviceDiskBytes/2, vm)
+			assert.Less(t, disks[vm].peakBytes(), serviceDiskBytes/2, vm)
 		}
 	})
 }
@@ -345,7 +352,7 @@
 			Index: firstIndex - 1, LogTerm: 1, Entries: []replicator.Entry{{Index: firstIndex, Term: term, Payload: payload}}, Commit: 1,
 		})}})
 	}
-	assert.Less(t, d.peak, 2*minCompactionBytes)
+	assert.Less(t, d.peakBytes(), 2*minCompactionBytes)
 	restarted := openFollower(t, d.disk())
 	assert.EqualValues(t, firstIndex, restarted.replica.LastIndex())
 	assert.EqualValues(t, 99, restarted.replica.Status().Term)
@@ -438,7 +445,7 @@
 			ordered <- err
 		}()
 		time.Sleep(linkLatency)
-		assert.Less(t, disks[leader].peak, serviceDiskBytes/2)
+		assert.Less(t, disks[leader].peakBytes(), serviceDiskBytes/2)
 		c.release()
 		require.NoError(t, <-ordered)
 		c.mustChangeLarge(leader, largeChange(1000, largeTextBytes))
