--- a/internal/keeper/group_recovery_test.go
+++ b/internal/keeper/group_recovery_test.go
@@ -164,6 +164,7 @@
 	err := <-result
 	if err != nil {
 		g.tracef("%s does not start: %v", name, err)
+		assert.ErrorIs(g.t, err, errDiskFull, "seed %d: %s refuses to start", g.seed, name)
 	}
 	return err
 }
