Replicator: short syncs do not hide a silent member

A lost voter never counted as lost and was not replaced, so that the next lost disk left no quorum:

A wait that is shorter than a heartbeat interval now moves nothing. Open: with syncs above 75 ms at the leader and changes without a pause, the same would hold; not run.

--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -266,7 +266,8 @@
 // messages that arrived meanwhile are not handled yet, so that nobody counts as silent for
 // it. A candidate gives the voters the same time for their own sync.
 func (r *Replicator) Waited(d time.Duration) {
-	if d <= 0 {
+	if d < r.timing.HeartbeatInterval {
+		// No heartbeat was missed. Many short waits must not hide a member that is silent.
 		return
 	}
 	r.electionDeadline = r.electionDeadline.Add(d)
