--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -306,7 +306,8 @@
 // it. A candidate gives the voters the same time for their own sync.
 func (r *Replicator) Waited(d time.Duration) {
 	r.syncTime = min(max(d, r.syncTime-r.syncTime/syncTimeDecay), maxSyncTime)
-	if d <= 0 {
+	if d < r.timing.HeartbeatInterval {
+		// No heartbeat was missed. Many short waits must not hide a member that is silent.
 		return
 	}
 	r.electionDeadline = r.electionDeadline.Add(d)
