--- a/internal/keeper/slow_disks_test.go
+++ b/internal/keeper/slow_disks_test.go
@@ -31,7 +31,7 @@
 // VMs are slow: a replica that waits for its disk must not take its leader for lost, nor its
 // followers.
 func TestSlowDisksKeepALeader(t *testing.T) {
-	for _, syncTime := range []time.Duration{200 * time.Millisecond, 270 * time.Millisecond} {
+	for _, syncTime := range []time.Duration{200 * time.Millisecond, 270 * time.Millisecond, 500 * time.Millisecond, time.Second} {
 		t.Run(syncTime.String(), func(t *testing.T) { assertStableLeader(t, syncTime) })
 	}
 }
