Pushes without room on a link are repeated by the daemon

Callers saw a VM without a replica that stayed on an old configuration, or on an evacuation that was revoked, until the next change or reconnect.

Cause: since a link drops a push without room and keeps its session, so that PeerUp no longer sends all again. The daemon ignored the result of SendLog, and its heartbeats carry no versions. The conductor asks again from heartbeats and stays as it is.

Change: the daemon notes the VM of a push without room, once each, and the Keeper sends what is in force again at most once a second. Ruled out: closing the session, which loses the messages of the dispatcher that wait on it.

After: go test -race -run Push ./internal/keeper ./internal/daemon passes. The whole suite of internal/daemon passes with -race; that of internal/keeper fails with -race (1 of 1 runs): TestGroupRecoversFromLosses reads the map of its disks in a timer of faultDisks while wipe writes it.

--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -56,7 +56,15 @@
 	if err != nil {
 		return
 	}
-	d.messenger.SendLog(vm, payload)
+	d.queueState(vm, m, payload)
+}
+
+// queueState queues an encoded message for a VM. The heartbeats of a daemon carry no versions,
+// so that a push without room must be repeated.
+func (d *Daemon) queueState(vm string, m *wire.StateMessage, payload []byte) {
+	if !d.messenger.SendLog(vm, payload) && keeper.IsPush(m) {
+		d.keeper.PushDropped(vm)
+	}
 }
 
 func (d *Daemon) broadcastStateMessage(m *wire.StateMessage) {
@@ -66,7 +74,7 @@
 	}
 	for _, p := range d.settings.Peers {
 		if p.VM != d.settings.VM {
-			d.messenger.SendLog(p.VM, payload)
+			d.queueState(p.VM, m, payload)
 		}
 	}
 }
--- a/internal/keeper/cluster_test.go
+++ b/internal/keeper/cluster_test.go
@@ -37,8 +37,10 @@
 	cut      map[string]bool
 	// intercept returns true for a message that is not delivered now. If hold is set, it is
 	// delivered by release.
-	intercept  func(from, to string, m *wire.StateMessage) bool
-	hold       bool
+	intercept func(from, to string, m *wire.StateMessage) bool
+	hold      bool
+	// isFull returns true for a message for which the link has no room: its sender is told.
+	isFull     func(from, to string, m *wire.StateMessage) bool
 	held       []func()
 	heartbeats atomic.Bool
 	// link, if set, returns the delay of a message and whether it is lost.
@@ -268,6 +270,9 @@
 		}
 		c.keeper(to).Receive(from, received)
 	}
+	if c.hasNoRoom(from, to, m) {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.intercept != nil && c.intercept(from, to, m) {
@@ -285,6 +290,24 @@
 	}
 }
 
+// hasNoRoom reports whether a link has no room for a message, and tells its sender of a push.
+func (c *testCluster) hasNoRoom(from, to string, m *wire.StateMessage) bool {
+	c.mu.Lock()
+	isFull := c.isFull != nil && c.isFull(from, to, m)
+	c.mu.Unlock()
+	if isFull && IsPush(m) {
+		c.keeper(from).PushDropped(to)
+	}
+	return isFull
+}
+
+// fill fills the links for the messages that match from now on.
+func (c *testCluster) fill(matches func(from, to string, m *wire.StateMessage) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isFull = matches
+}
+
 // drop loses the messages that match from now on, and keep delays them until release.
 func (c *testCluster) drop(matches func(from, to string, m *wire.StateMessage) bool) {
 	c.mu.Lock()
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -73,6 +73,7 @@
 	inputs                 chan input
 	load                   queueLoad
 	overflow               overflow
+	droppedPushes          droppedPushes
 	done                   chan struct{}
 	store                  *storer.Storer
 	replica                *replicator.Replicator
@@ -239,6 +240,7 @@
 	k.publishMembers()
 	k.fetchNext(k.config.Now())
 	k.fetchNextEvacuations(k.config.Now())
+	k.repeatPushes(k.config.Now())
 	k.publishCondition(k.config.Now())
 	k.reportDrops(k.config.Now())
 }
@@ -296,10 +298,7 @@
 
 // greet sends the active version, the evacuations and this disk's identity.
 func (k *Keeper) greet(vm string) {
-	k.sendEvacuations(vm)
-	if k.active.Version > 0 {
-		k.handlers.Send(vm, &wire.StateMessage{Configuration: encodeConfiguration(k.active)})
-	}
+	k.push(vm)
 	if k.replica != nil {
 		k.handlers.Send(vm, &wire.StateMessage{AnnounceMember: k.identity, AnnounceVm: k.config.VM})
 	}
