Replica messages and bulk wait for a link in queues of their own

What callers saw was not measured.

Change: SendBulk queues pushes, requests and responses apart from the messages of the replica. A message enters while less than 8 MiB wait; one of up to 1 KiB also later. A queue holds at most 8 MiB, one message and 1 MiB of small ones, a link two queues.

Not run: narrow links end to end, internal/keeper again (not changed here).

--- a/internal/conductor/receive.go
+++ b/internal/conductor/receive.go
@@ -210,7 +210,16 @@
 		d.recordInvalidMessage(vm, err)
 		return
 	}
-	d.messenger.SendLog(vm, payload)
+	d.queueState(vm, m, payload)
+}
+
+// queueState queues an encoded message for a VM.
+func (d *Conductor) queueState(vm string, m *wire.StateMessage, payload []byte) {
+	if m.GetLog() != nil {
+		d.messenger.SendLog(vm, payload)
+		return
+	}
+	d.messenger.SendBulk(vm, payload)
 }
 
 // broadcastState sends a message to the state VMs. A new version of the configuration and new
@@ -228,7 +237,7 @@
 	d.enqueue(func(time.Time) {
 		for _, vm := range d.peers.Known() {
 			if isForAll || d.peers.Peer(vm).IsState {
-				d.messenger.SendLog(vm, payload)
+				d.queueState(vm, m, payload)
 			}
 		}
 	})
--- a/internal/daemon/state.go
+++ b/internal/daemon/state.go
@@ -62,7 +62,11 @@
 // queueState queues an encoded message for a VM. The heartbeats of a daemon carry no versions,
 // so that a push without room must be repeated.
 func (d *Daemon) queueState(vm string, m *wire.StateMessage, payload []byte) {
-	if !d.messenger.SendLog(vm, payload) && keeper.IsPush(m) {
+	send := d.messenger.SendBulk
+	if m.GetLog() != nil {
+		send = d.messenger.SendLog
+	}
+	if !send(vm, payload) && keeper.IsPush(m) {
 		d.keeper.PushDropped(vm)
 	}
 }
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -48,7 +48,10 @@
 	queue     chan outboundMessage
 	// logs holds the messages of the log apart, since they may be large: the others need
 	// not wait behind all of them.
-	logs     logQueue
+	logs logQueue
+	// bulk holds pushes, requests and responses apart from the messages of the replica, of
+	// which only the order matters.
+	bulk     logQueue
 	overflow chan struct{}
 	// peerDialled receives when the peer has dialled this VM. It ends a back-off
 	// or a pending connection attempt, so that the peer is dialled at once.
@@ -57,10 +60,12 @@
 }
 
 // outboundMessage is one queued message. Exactly one field is set: a message of
-// the dispatcher, of the replicated log, or between entries and holders.
+// the dispatcher, of the replica, a push, request or response of the configuration (bulk), or
+// between entries and holders.
 type outboundMessage struct {
 	message *dispatcher.Message
 	log     []byte
+	bulk    []byte
 	relay   *wire.Relay
 }
 
@@ -69,6 +74,7 @@
 		messenger: m, peer: p,
 		queue:       make(chan outboundMessage, m.config.QueueLength),
 		logs:        newLogQueue(),
+		bulk:        newLogQueue(),
 		overflow:    make(chan struct{}, 1),
 		peerDialled: make(chan struct{}, 1),
 		stop:        func() {},
@@ -80,7 +86,10 @@
 // finds no room is only dropped, since its sender repeats it.
 func (l *link) enqueue(o outboundMessage) bool {
 	if o.log != nil {
-		return l.enqueueLog(o.log)
+		return l.enqueueLog(l.logs, o.log)
+	}
+	if o.bulk != nil {
+		return l.enqueueLog(l.bulk, o.bulk)
 	}
 	select {
 	case l.queue <- o:
@@ -94,8 +103,8 @@
 	return false
 }
 
-func (l *link) enqueueLog(payload []byte) bool {
-	isQueued, isFirstLoss := l.logs.add(payload)
+func (l *link) enqueueLog(q logQueue, payload []byte) bool {
+	isQueued, isFirstLoss := q.add(payload)
 	if isQueued {
 		return true
 	}
@@ -145,6 +154,7 @@
 // announces the next one, on which the senders repeat what is still needed.
 func (l *link) discardQueue() {
 	l.logs.discard()
+	l.bulk.discard()
 	for {
 		select {
 		case <-l.queue:
@@ -244,7 +254,9 @@
 		case first := <-l.queue:
 			frame = l.nextFrame(first, sequence+1)
 		case first := <-l.logs.messages:
-			frame = l.nextLogFrame(first, sequence+1)
+			frame = l.nextLogFrame(l.logs, first, sequence+1)
+		case first := <-l.bulk.messages:
+			frame = l.nextLogFrame(l.bulk, first, sequence+1)
 		}
 		sequence++
 		var err error
@@ -315,15 +327,15 @@
 	return frame
 }
 
-// nextLogFrame builds a frame of the first message of the log and those queued behind it.
-func (l *link) nextLogFrame(first []byte, sequence uint64) *wire.Frame {
-	l.logs.taken(first)
+// nextLogFrame builds a frame of the first message of a queue and those queued behind it.
+func (l *link) nextLogFrame(q logQueue, first []byte, sequence uint64) *wire.Frame {
+	q.taken(first)
 	frame := l.newFrame(outboundMessage{log: first}, sequence)
 	size := len(first)
 	for len(frame.Messages) < maxFrameMessages && size < maxFrameContentBytes {
 		select {
-		case next := <-l.logs.messages:
-			l.logs.taken(next)
+		case next := <-q.messages:
+			q.taken(next)
 			size += len(next)
 			frame.Messages = append(frame.Messages, encodeOutbound(outboundMessage{log: next}))
 		default:
@@ -345,6 +357,8 @@
 	switch {
 	case o.relay != nil:
 		return &wire.Message{Body: &wire.Message_Relay{Relay: o.relay}}
+	case o.bulk != nil:
+		return &wire.Message{Body: &wire.Message_Log{Log: o.bulk}}
 	case o.message == nil:
 		return &wire.Message{Body: &wire.Message_Log{Log: o.log}}
 	}
--- a/internal/messenger/link_test.go
+++ b/internal/messenger/link_test.go
@@ -62,7 +62,7 @@
 		l.enqueue(outboundMessage{log: make([]byte, 400<<10)})
 	}
 	l.enqueue(outboundMessage{relay: &wire.Relay{}})
-	assert.Len(t, l.nextLogFrame(<-l.logs.messages, 1).GetMessages(), 1)
+	assert.Len(t, l.nextLogFrame(l.logs, <-l.logs.messages, 1).GetMessages(), 1)
 	frame := l.nextFrame(<-l.queue, 2)
 	assert.Len(t, frame.GetMessages(), 1)
 	assert.NotNil(t, frame.GetMessages()[0].GetRelay())
@@ -73,7 +73,7 @@
 func TestQueueOfTheLogHasRoomAgain(t *testing.T) {
 	payload := make([]byte, maxQueuedLogBytes)
 	for name, empty := range map[string]func(l *link){
-		"sent":      func(l *link) { l.nextLogFrame(<-l.logs.messages, 1) },
+		"sent":      func(l *link) { l.nextLogFrame(l.logs, <-l.logs.messages, 1) },
 		"discarded": func(l *link) { l.discardQueue() },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -85,3 +85,21 @@
 		})
 	}
 }
+
+// TestHeartbeatsPassAnOversizedMessage guards against heartbeats that are lost behind a snapshot
+// or a push of more than the bound in bytes.
+func TestHeartbeatsPassAnOversizedMessage(t *testing.T) {
+	l, _ := newTestLink()
+	assert.True(t, l.enqueue(outboundMessage{bulk: make([]byte, maxQueuedLogBytes+1)}))
+	assert.True(t, l.enqueue(outboundMessage{log: make([]byte, maxQueuedLogBytes+1)}))
+	assert.True(t, l.enqueue(outboundMessage{log: make([]byte, 60)}), "a heartbeat behind an oversized message is dropped")
+}
+
+// TestOversizedMessagePassesAHeartbeat guards against a snapshot that finds no room while a
+// heartbeat waits.
+func TestOversizedMessagePassesAHeartbeat(t *testing.T) {
+	l, _ := newTestLink()
+	assert.True(t, l.enqueue(outboundMessage{log: make([]byte, 60)}))
+	assert.True(t, l.enqueue(outboundMessage{log: make([]byte, maxQueuedLogBytes+1)}), "a snapshot is dropped since one heartbeat waits")
+	assert.False(t, l.enqueue(outboundMessage{log: make([]byte, maxQueuedLogBytes+1)}), "the bytes are not bounded")
+}
--- a/internal/messenger/log_queue.go
+++ b/internal/messenger/log_queue.go
@@ -2,8 +2,10 @@
 
 import "sync/atomic"
 
-// logQueue holds the messages of the log that wait for a link, bounded in number and in
-// bytes. A single message may exceed the bound in bytes.
+// logQueue holds messages of one kind that wait for a link, bounded in number and in bytes. A
+// message enters while fewer than maxQueuedLogBytes wait, and one of at most maxSmallLogBytes
+// also later, so that heartbeats and votes pass. At most maxQueuedLogBytes, one message and
+// 1 MiB of small ones wait.
 type logQueue struct {
 	messages chan []byte
 	bytes    *atomic.Int64
@@ -11,7 +13,10 @@
 	isDropping *atomic.Bool
 }
 
-const maxQueuedLogs = 1024
+const (
+	maxQueuedLogs    = 1024
+	maxSmallLogBytes = 1 << 10
+)
 
 func newLogQueue() logQueue {
 	return logQueue{messages: make(chan []byte, maxQueuedLogs), bytes: &atomic.Int64{}, isDropping: &atomic.Bool{}}
@@ -20,10 +25,13 @@
 // add queues a message if there is room. If not, it reports whether the one before had room.
 func (q *logQueue) add(payload []byte) (isQueued, isFirstLoss bool) {
 	size := int64(len(payload))
-	if total := q.bytes.Add(size); total <= maxQueuedLogBytes || total == size {
+	hasRoom := q.bytes.Add(size)-size < maxQueuedLogBytes
+	if hasRoom || size <= maxSmallLogBytes {
 		select {
 		case q.messages <- payload:
-			q.isDropping.Store(false)
+			if hasRoom {
+				q.isDropping.Store(false)
+			}
 			return true, false
 		default:
 		}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -136,6 +136,12 @@
 	return m.enqueue(to, outboundMessage{log: payload})
 }
 
+// SendBulk queues a push, request or response of the configuration for a peer. Its result is
+// that of SendLog; the messages of the replica do not wait for room behind it.
+func (m *Messenger) SendBulk(to string, payload []byte) bool {
+	return m.enqueue(to, outboundMessage{bulk: payload})
+}
+
 // SendRelay queues a message between entries and holders for a peer.
 func (m *Messenger) SendRelay(to string, r *wire.Relay) bool {
 	return m.enqueue(to, outboundMessage{relay: r})
