--- a/internal/keeper/founders_test.go
+++ b/internal/keeper/founders_test.go
@@ -16,7 +16,7 @@
 			all := g.present()
 			for _, name := range all {
 				g.down(name)
-				g.disks[name] = newVolatileDisk(seed)
+				g.setDisk(name, newVolatileDisk(seed))
 			}
 			for _, name := range all {
 				g.vms[name].founder = name <= "s3"
@@ -26,7 +26,7 @@
 			g.down("s1")
 			g.vms["s1"].founder = false
 			if seed%2 == 0 {
-				g.disks["s1"].losePower()
+				g.disk("s1").losePower()
 			}
 			g.later(g.duration(100, 1000), func() { g.up("s1") })
 			g.calm()
--- a/internal/keeper/group_recovery_test.go
+++ b/internal/keeper/group_recovery_test.go
@@ -84,7 +84,7 @@
 		name := fmt.Sprint("s", i+1)
 		g.states = append(g.states, name)
 		g.vms[name] = &testVM{name: name, founder: i < 3}
-		g.disks[name] = newVolatileDisk(seed<<8 + uint64(i))
+		g.setDisk(name, newVolatileDisk(seed<<8+uint64(i)))
 		g.starting[name] = make(chan struct{}, 1)
 	}
 	g.founders = g.states[:3]
@@ -147,7 +147,7 @@
 func (g *lossyGroup) startOnce(name string, start int) error {
 	g.starting[name] <- struct{}{}
 	defer func() { <-g.starting[name] }()
-	disk, end := g.disks[name].open()
+	disk, end := g.disk(name).open()
 	g.mu.Lock()
 	if g.wanted[name] != start || g.stopped {
 		g.mu.Unlock()
@@ -234,6 +234,18 @@
 	})
 }
 
+func (g *lossyGroup) disk(name string) *volatileDisk {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.disks[name]
+}
+
+func (g *lossyGroup) setDisk(name string, d *volatileDisk) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.disks[name] = d
+}
+
 func (g *lossyGroup) killVMs(names []string, losePower bool, low, high int) {
 	g.tracef("down %v, power lost: %t", names, losePower)
 	var ending sync.WaitGroup
@@ -243,7 +255,7 @@
 	ending.Wait()
 	for _, name := range names {
 		if losePower {
-			g.disks[name].losePower()
+			g.disk(name).losePower()
 		}
 		g.later(g.duration(low, high), func() { g.up(name) })
 	}
@@ -253,7 +265,7 @@
 // it.
 func (g *lossyGroup) wipe(name string, isReplaced bool, low, high int) {
 	g.down(name)
-	g.disks[name] = newVolatileDisk(g.seed<<8 + uint64(g.number(1000)))
+	g.setDisk(name, newVolatileDisk(g.seed<<8+uint64(g.number(1000))))
 	next := name
 	if isReplaced {
 		if i := slices.IndexFunc(g.states, func(s string) bool { return s > name && g.wanted[s] == 0 }); i >= 0 {
@@ -331,11 +343,11 @@
 func (g *lossyGroup) faultDisks(names []string, syncTime, hangs, refuses time.Duration) {
 	g.tracef("disks of %v: sync %v, hang %v, refuse %v", names, syncTime, hangs, refuses)
 	for _, name := range names {
-		g.disks[name].setFault(syncTime, hangs, refuses)
+		g.disk(name).setFault(syncTime, hangs, refuses)
 	}
 	g.later(max(hangs, refuses, time.Second), func() {
 		for _, name := range names {
-			g.disks[name].setFault(usualSyncTime, 0, 0)
+			g.disk(name).setFault(usualSyncTime, 0, 0)
 		}
 	})
 }
--- a/internal/keeper/slow_disks_test.go
+++ b/internal/keeper/slow_disks_test.go
@@ -46,7 +46,7 @@
 			for seed := uint64(1); seed <= 3; seed++ {
 				inLossyGroup(t, seed, func(_ *testing.T, g *lossyGroup) {
 					for _, vm := range g.present() {
-						g.disks[vm].setFault(syncTime, 0, 0)
+						g.disk(vm).setFault(syncTime, 0, 0)
 					}
 					if losesPower {
 						g.killVMs(g.present(), true, 200, 1500)
