--- a/internal/replicator/replication_test.go
+++ b/internal/replicator/replication_test.go
@@ -212,7 +212,7 @@
 	l.take()
 	var out Effects
 	require.NoError(t, l.Read(l.now, 7, &out))
-	l.sent = append(out.Requests, out.Sends...)
+	l.sent = slices.Concat(out.Requests, out.Sends)
 	for i := range l.sent {
 		assert.Empty(t, l.sent[i].Entries, "a heartbeat is small")
 	}
