--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -30,8 +30,8 @@
 	defaultHeartbeatInterval = 250 * time.Millisecond
 	defaultSilenceTimeout    = time.Second
 	maxFrameMessages         = 512
-	// maxFrameContentBytes limits a frame of several messages, and maxQueuedLogBytes the
-	// messages of the log that wait for a link: at 19 Mbit/s they take 0.03 s and 3.5 s.
+	// maxFrameContentBytes limits a frame of several messages, so that others need not wait long
+	// behind it, and maxQueuedLogBytes the memory of a queue.
 	maxFrameContentBytes = 64 << 10
 	maxQueuedLogBytes    = 8 << 20
 	// maxKeptBufferBytes is the largest buffer that is kept for the next frame.
--- a/internal/replicator/replication.go
+++ b/internal/replicator/replication.go
@@ -7,8 +7,8 @@
 
 const (
 	maxAppendEntries = 256
-	// maxAppendBytes limits an Append of several entries. It passes a link of 19 Mbit/s well
-	// within an election timeout, so that the heartbeats behind it are in time.
+	// maxAppendBytes limits an Append of several entries, so that the heartbeats behind it are in
+	// time on a narrow link. A single larger entry may hold them back.
 	maxAppendBytes = 256 << 10
 	// resendInterval and snapshotResendInterval are the shortest times after which an Append
 	// or a snapshot is sent again to a member that answers but has not got it.
