--- a/review/standins-2/case_cancelled.go
+++ b/review/standins-2/case_cancelled.go
@@ -20,11 +20,44 @@
 	cancelDivisor, copyDivisor = 4, 2
 	// Copies are those of jobs that were handed in during the last copyTime of the traffic.
 	trafficTime, copyTime = 5 * time.Second, 1500 * time.Millisecond
+	// The freeze begins freezeAt after the traffic and lasts for freezeTime, beyond its end.
+	freezeAt, freezeTime = 2500 * time.Millisecond, 4 * time.Second
 )
 
-// runCancelled: clients cancel a share of their jobs right after the ack. Then one process of the core is
+// runCancelledKill: clients cancel a share of their jobs right after the ack. Then one process of the core is
 // killed and started again. Once it has been in touch for a while, copies of some of the requests arrive.
-func runCancelled(d *deployment, hasTrouble bool) error {
+func runCancelledKill(d *deployment, hasTrouble bool) error {
+	return runCancelled(d, func(*vm) {}, func(victim *vm) error {
+		if hasTrouble {
+			d.signal(victim, syscall.SIGKILL)
+			<-victim.exited
+		}
+		time.Sleep(500 * time.Millisecond)
+		if !hasTrouble {
+			return nil
+		}
+		return d.startVM(victim)
+	})
+}
+
+// runCancelledFreeze is runCancelledKill with a process that is frozen while the jobs are cancelled.
+func runCancelledFreeze(d *deployment, hasTrouble bool) error {
+	return runCancelled(d, func(victim *vm) {
+		time.Sleep(freezeAt)
+		if hasTrouble {
+			d.signal(victim, syscall.SIGSTOP)
+		}
+	}, func(victim *vm) error {
+		time.Sleep(freezeTime - (trafficTime - freezeAt))
+		if hasTrouble {
+			d.signal(victim, syscall.SIGCONT)
+		}
+		return nil
+	})
+}
+
+// runCancelled calls during beside the traffic, and after it ends.
+func runCancelled(d *deployment, during func(*vm), after func(*vm) error) error {
 	for _, z := range d.zones {
 		d.addVM("state", z)
 	}
@@ -82,19 +115,13 @@
 			}
 		})
 	}
-	time.Sleep(trafficTime)
+	victim := d.states[0]
+	during(victim)
+	time.Sleep(trafficTime - time.Since(began))
 	close(stop)
 	clients.Wait()
-	if hasTrouble {
-		victim := d.states[0]
-		d.signal(victim, syscall.SIGKILL)
-		<-victim.exited
-		time.Sleep(500 * time.Millisecond)
-		if err := d.startVM(victim); err != nil {
-			return err
-		}
-	} else {
-		time.Sleep(500 * time.Millisecond)
+	if err := after(victim); err != nil {
+		return err
 	}
 	// From here on the process has run, and the core has been stable, for longer than contactTime.
 	time.Sleep(contactTime + time.Second)
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -28,8 +28,9 @@
 }
 
 var cases = map[string]reviewCase{
-	"cancelled": {"UNASKED", runCancelled},
-	"new-kind":  {"ROUTE", runNewKind},
+	"cancelled-kill":   {"UNASKED", runCancelledKill},
+	"cancelled-freeze": {"UNASKED", runCancelledFreeze},
+	"new-kind":         {"ROUTE", runNewKind},
 }
 
 // maxRunTime ends a run that hangs.
