--- a/review/standins-2/deployment.go
+++ b/review/standins-2/deployment.go
@@ -134,12 +134,12 @@
 	controls := d.controls()
 	f := map[string]any{
 		"nodeName": v.name, "role": v.role, "machineClass": class, "serves": []string{serves}, "ip": v.ip, "zone": v.zone, "region": "area",
-		"zones": zones, "listen": listen, "internalPorts": []int{firstInnerPort, lastInnerPort}, "seeds": controls[:min(3, len(controls))],
+		"zones": zones, "listen": listen, names["internal-ports"]: []int{firstInnerPort, lastInnerPort}, "seeds": controls[:min(3, len(controls))],
 		"bootstrap": isFirst, "inTolerance": v.role == "state",
 		"limits":  map[string]any{"cpuShare": 0.8, "cores": 1, "memoryMb": 280, "maxFds": 4096, "linkMbps": 1000.0, "diskMb": disk},
 		"dataDir": data, "discovery": "registry", "entry": "vip", "heartbeatMs": reportInterval.Milliseconds(),
-		"contracts":      []string{"base", "drain", "config", "cost", "recover", "sched", "advice", "upkeep", "sharing"},
-		"faultTolerance": map[string]int{"machines": 1, "zones": 1, "regions": 0},
+		"contracts":        []string{"base", "drain", "config", "cost", "recover", "sched", "advice", "upkeep", "sharing"},
+		names["tolerance"]: map[string]int{"machines": 1, "zones": 1, "regions": 0},
 		"bounds": map[string]any{
 			"seedLagS": 3, "addrReuseS": 2, "contactMs": 3000, "ackTimeoutMs": 4000, "catchUpS": 4, "drainMs": 2000, "graceS": 6,
 			"lossSlackMs": 200, "configApplyMs": 2000, "rollbackSlackMs": 250, "maxStretchMs": 5000, "recoveryS": 12, "holdMaxMs": 1000,
@@ -172,7 +172,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	command := exec.Command(d.program, words...)
-	command.Env = append(os.Environ(), "BRONZEDRIFT_BOOT="+filepath.Join(v.folder, "node.json"))
+	command.Env = append(os.Environ(), names["settings-path"]+"="+filepath.Join(v.folder, "node.json"))
 	command.Stdout, command.Stderr = log, log
 	// Pdeathsig ends the program with the thread that has started it, to which main is locked.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -226,7 +226,7 @@
 	deadline := time.Now().Add(15 * time.Second)
 	for status := 0; status != http.StatusOK; {
 		for _, c := range d.controls() {
-			if status, _, _ = d.send(http.MethodPut, "http://"+c+"/bronzedrift/config", "", configuration, time.Second); status == http.StatusOK {
+			if status, _, _ = d.send(http.MethodPut, "http://"+c+names["config"], "", configuration, time.Second); status == http.StatusOK {
 				d.record.add("configuration-acknowledged", c)
 				break
 			}
@@ -243,7 +243,7 @@
 	}
 	for _, e := range d.entries {
 		for {
-			status, _, _ := d.send(http.MethodGet, fmt.Sprintf("http://%s:%d/bronzedrift/ready", e.ip, readinessPort), "", "", time.Second)
+			status, _, _ := d.send(http.MethodGet, fmt.Sprintf("http://%s:%d%s", e.ip, readinessPort, names["ready"]), "", "", time.Second)
 			if status == http.StatusOK {
 				break
 			}
@@ -279,7 +279,7 @@
 
 // configurationText is a configuration with one queue.
 func configurationText(version int) string {
-	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r-1","host":%q,"pathPrefix":%q,"kind":"non_idempotent","timeoutMs":%d,"targetLatencyMs":60,"priority":1,"service":%q,"maxAttempts":4,"stretch":1.6}],"services":[{"name":%q,"healthPath":"/health","maxConns":64,"protocol":"h1","tls":false,"enforcesCapacity":true,"standby":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`,
+	return fmt.Sprintf(names["configuration"],
 		version, host, prefix, timeout.Milliseconds(), service, service)
 }
 
@@ -290,7 +290,7 @@
 	if w.Label != "" {
 		step["requirements"] = w.Label
 	}
-	text, _ := json.Marshal(map[string]any{"spec": string(spec), "bestEffort": true, "steps": []any{step}})
+	text, _ := json.Marshal(map[string]any{"spec": string(spec), names["best-effort"]: true, "steps": []any{step}})
 	return string(text)
 }
 
@@ -308,7 +308,7 @@
 	// Without GetBody the transport does not repeat a request.
 	request.GetBody = nil
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
+	request.Header.Set(names["deadline"], fmt.Sprint(limit.Milliseconds()))
 	if hostName != "" {
 		request.Host = hostName
 	}
--- a/review/standins-2/runner.go
+++ b/review/standins-2/runner.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	runStartPath = "/bronzedrift/run-start"
-	runStopPath  = "/bronzedrift/run-stop"
 	// maxLease, stopTime and reportInterval are holdMaxMs, stopMs and heartbeatMs of the settings.
 	maxLease       = time.Second
 	stopTime       = 50 * time.Millisecond
@@ -74,10 +72,10 @@
 	Task         string `json:"task"`
 	Run          int    `json:"run"`
 	Spec         string `json:"spec"`
-	UntilMs      *int64 `json:"untilMs"`
-	FencingToken uint64 `json:"fencingToken"`
-	LastSeen     int    `json:"lastSeen"`
-	WaitMs       int64  `json:"waitMs"`
+	UntilMs      *int64
+	FencingToken uint64
+	LastSeen     int
+	WaitMs       int64 `json:"waitMs"`
 }
 
 // start opens the runner's address, reports at once and then every reportInterval.
@@ -157,7 +155,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if want := r.Header.Get("Expect-Instance"); want != "" && want != u.id {
+	if want := r.Header.Get(names["expected-runner"]); want != "" && want != u.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -174,13 +172,13 @@
 	}
 	u.token = o.FencingToken
 	switch r.URL.Path {
-	case runStartPath:
+	case names["run-start"]:
 		if reason := u.startRun(now, &o); reason != "" {
 			u.answer(w, http.StatusConflict, map[string]any{"reason": reason})
 			return
 		}
 		u.answer(w, http.StatusOK, map[string]any{})
-	case runStopPath:
+	case names["run-stop"]:
 		u.highest[o.Task] = max(u.highest[o.Task], o.Run)
 		if run := u.runs[o.Task]; run != nil && run.number == o.Run && run.endsAt.After(now.Add(stopTime)) {
 			run.endsAt, run.how = now.Add(stopTime), "stopped"
@@ -265,7 +263,7 @@
 		u.mu.Lock()
 		u.sequence++
 		body := map[string]any{
-			"service": u.service, "address": u.address, "zone": u.zone, "version": "v1", "slots": 8, "state": u.state, "coldRemainingMs": 0,
+			"service": u.service, "address": u.address, "zone": u.zone, "version": "v1", "slots": 8, "state": u.state, names["cold"]: 0,
 			"capacity": map[string]any{"cpu": u.cores, "memMb": runnerMemoryMB, "gpu": 0}, "labels": u.labels,
 			"clockMs": u.clock(time.Now()).Milliseconds(), "born": u.born.UnixMilli(), "sequence": u.sequence,
 		}
@@ -292,7 +290,7 @@
 
 // sendReport reports whether the daemon at an address has acknowledged the report.
 func (u *runner) sendReport(ctx context.Context, client *http.Client, address string, text []byte) bool {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, fmt.Sprintf("http://%s/bronzedrift/instances/%s", address, u.id), bytes.NewReader(text))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, fmt.Sprintf("http://%s%s%s", address, names["instances"], u.id), bytes.NewReader(text))
 	if err != nil {
 		return false
 	}
@@ -307,7 +305,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	var reply struct {
-		HeartbeatAddr string `json:"heartbeatAddr"`
+		HeartbeatAddr string
 	}
 	answer, _ := io.ReadAll(response.Body)
 	_ = json.Unmarshal(answer, &reply)
