Holder: what is known of an upstream belongs to one incarnation

Cause: an answer that told of a later incarnation replaced only the start time, the sequence number and the clock. Labels, service, rack, capacity and state stayed those of the former incarnation, placement used them after the first list, and the notice to the other VMs sent them under the new start time.

Change: the facts of an incarnation are one value (incarnation), which a restart replaces as a whole; handleRestart takes what is known of the next one. What is known from an answer alone is Unreported: it has the id, the address that has answered and the data centre of the host, is held and listed, starts nothing and is sent so in notices and to the disk. The first report of the incarnation replaces it, whatever its sequence number. Validate refuses a description without a state. The run of an upstream that crashes before its first report counts as before; a drain as the first report is saved before its acknowledgement.

Paths: answers (this fault), notices of other VMs, what a state VM restores from its disk (the list after the restart tells, and it used the restored facts), reports (replaced the upstream before as well). Measured speed, failures, pauses, ends and the clock go by the same value.

--- a/internal/conductor/requests.go
+++ b/internal/conductor/requests.go
@@ -119,7 +119,8 @@
 	hasStopped := false
 	isProcessed := d.enqueueAndWait(ctx, func(now time.Time) {
 		u.Clock = max(u.Clock, 0)
-		hasStopped = u.State != holder.Ready && d.holder.StateOf(u.ID) == holder.Ready
+		known := d.holder.StateOf(u.ID)
+		hasStopped = u.State != holder.Ready && (known == holder.Ready || known == holder.Unreported)
 		d.holder.HandleHeartbeat(now, u, &d.holderEffects)
 	})
 	switch {
--- a/internal/holder/assign.go
+++ b/internal/holder/assign.go
@@ -78,7 +78,9 @@
 		return
 	}
 	u.Clock = 0
-	known := &trackedUpstream{Upstream: u, token: n.Token, runs: map[runKey]*run{}, speed: 1, lastHeartbeatAt: now, access: h.evacuator.Access(u.DataCentre, u.ID)}
+	known := &trackedUpstream{
+		incarnation: newIncarnation(u), token: n.Token, runs: map[runKey]*run{}, lastHeartbeatAt: now, access: h.evacuator.Access(u.DataCentre, u.ID),
+	}
 	if u.State == Gone {
 		known.tombstoneAt = now
 	}
@@ -86,7 +88,7 @@
 	h.upstreams[u.ID] = known
 }
 
-// StateOf returns the state of an upstream, or zero if it is not known.
+// StateOf returns the state of an upstream, Unreported if it is not known.
 func (h *Holder) StateOf(id string) State {
 	if u := h.upstreams[id]; u != nil {
 		return u.State
@@ -103,7 +105,7 @@
 		if n.State == Gone {
 			return nil
 		}
-		u = &trackedUpstream{Upstream: n, runs: map[runKey]*run{}, speed: 1, access: h.evacuator.Access(n.DataCentre, n.ID)}
+		u = &trackedUpstream{incarnation: newIncarnation(n), runs: map[runKey]*run{}, access: h.evacuator.Access(n.DataCentre, n.ID)}
 		h.upstreams[n.ID] = u
 		u.lastHeartbeatAt = now
 		u.takeAllowedAt = h.remoteTakeAt(now, u)
@@ -124,9 +126,10 @@
 		if isFirstHand {
 			news = "heartbeat"
 		}
-		h.handleRestart(now, u, news, now.Add(-n.Clock))
+		h.handleRestart(now, u, n, news, now.Add(-n.Clock))
+	} else {
+		u.Upstream = n
 	}
-	u.Upstream = n
 	if n.DataCentre != before.DataCentre {
 		u.preferredVersion = 0
 	}
@@ -151,6 +154,8 @@
 
 func stateName(s State) string {
 	switch s {
+	case Unreported:
+		return "unreported"
 	case Ready:
 		return "ready"
 	case Draining:
@@ -369,9 +374,9 @@
 // token, and nothing runs there but starts that it has carried out or may still carry out.
 // It is taken under a later token, so that its first list decides on these starts: one that
 // is not listed is refused from then on. No answer or stop of the former incarnation does.
-// news says what has told of the restart, for the log, and startedBy when the new incarnation
-// had started at the latest.
-func (h *Holder) handleRestart(now time.Time, u *trackedUpstream, news string, startedBy time.Time) {
+// next is the latest report of the new incarnation, or Unreported. news says what has told of the
+// restart, for the log, and startedBy when the new incarnation had started at the latest.
+func (h *Holder) handleRestart(now time.Time, u *trackedUpstream, next Upstream, news string, startedBy time.Time) {
 	d := Decision{Event: "upstream-reborn", Upstream: u.ID, Reason: news, IsFault: len(u.runs) > 0}
 	if !u.answeredAt.IsZero() {
 		d.Wait = now.Sub(u.answeredAt)
@@ -384,8 +389,7 @@
 	u.aliveAt = now
 	u.isIsolated = false
 	u.restartedAt, u.formerStartedAt = now, u.StartedAt
-	u.lastEnd, u.ackedEnd = 0, 0
-	u.clock, u.clockCeiling = clock{}, clock{}
+	u.incarnation = newIncarnation(next)
 	u.endFormerLeases(now, &h.config.Timing)
 	for _, r := range u.runs {
 		r.voidAfter, r.isListed, r.isLocated = 0, false, false
@@ -397,7 +401,6 @@
 			r.state = unconfirmed
 		}
 	}
-	u.speed, u.failureRate, u.failures, u.pausedUntil = 1, 0, 0, time.Time{}
 	if u.phase != notHeld {
 		u.token = h.nextToken(now, u)
 		h.setPhase(u, taking)
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -10,7 +10,7 @@
 // trackedUpstream is a known upstream, whether held or not, with the runs that this
 // VM has there.
 type trackedUpstream struct {
-	Upstream
+	incarnation
 	// holder is the VM known to hold the upstream, and token its fencing token.
 	holder string
 	token  uint64
@@ -32,9 +32,6 @@
 	preferredVersion int
 	// mayHaveStops is false if no stop of one of the runs was requested.
 	mayHaveStops bool
-	clock        clock
-	// clockCeiling bounds the clock from above.
-	clockCeiling clock
 	// leaseEnd is the end, on the upstream's clock, of the latest lease that has reached the
 	// upstream or may have. pendingLeases are those of calls without a result yet.
 	leaseEnd      time.Duration
@@ -56,23 +53,13 @@
 	// aliveAt is when the known incarnation has last answered.
 	aliveAt     time.Time
 	failedHolds int
-	// lastEnd is the number of the latest run end processed, and ackedEnd that of the
-	// latest one whose acknowledgement has reached the upstream.
-	lastEnd, ackedEnd uint64
-	lastEndAt         time.Time
-	holdPending       bool
-	holdSentAt        time.Time
-	holdRetryAt       time.Time
-	// listedAt is when the upstream last listed its runs, and fencedAt when it first did so under
-	// the token.
-	listedAt, fencedAt time.Time
+	holdPending bool
+	holdSentAt  time.Time
+	holdRetryAt time.Time
+	// fencedAt is when the upstream first listed its runs under the token.
+	fencedAt time.Time
 	// isUnresponsive is set while the latest hold call has failed.
 	isUnresponsive bool
-	speed          float64
-	// failureRate is a moving average of the share of runs that failed.
-	failureRate float64
-	failures    int
-	pausedUntil time.Time
 	// loss is the evidence since lostAt that the upstream has lost its runs, and firstSign
 	// the first one.
 	loss, firstSign lossKind
--- /dev/null
+++ b/internal/holder/incarnation.go
@@ -0,0 +1,44 @@
+package holder
+
+import (
+	"net/netip"
+	"time"
+)
+
+// incarnation is what is known of one incarnation of an upstream. A restart replaces the value as a
+// whole, so that nothing known of the former incarnation is applied to the next one.
+type incarnation struct {
+	// Upstream is the latest report of the incarnation. Its state is Unreported before the first one.
+	Upstream
+	clock clock
+	// clockCeiling bounds the clock from above.
+	clockCeiling clock
+	// lastEnd is the number of the latest run end processed, and ackedEnd that of the
+	// latest one whose acknowledgement has reached the upstream.
+	lastEnd, ackedEnd uint64
+	lastEndAt         time.Time
+	// listedAt is when the incarnation last listed its runs.
+	listedAt time.Time
+	speed    float64
+	// failureRate is a moving average of the share of runs that failed.
+	failureRate float64
+	failures    int
+	pausedUntil time.Time
+}
+
+// newIncarnation returns an incarnation of which only a report is known.
+func newIncarnation(report Upstream) incarnation { return incarnation{Upstream: report, speed: 1} }
+
+// unreported returns the upstream in an incarnation that has answered at an address and has not
+// reported yet. The data centre, which decides who holds the upstream, is that of the host.
+func (u *Upstream) unreported(address netip.AddrPort, startedAt time.Time) Upstream {
+	return Upstream{ID: u.ID, Address: address, DataCentre: u.DataCentre, StartedAt: startedAt}
+}
+
+// hasAnnouncedEnd reports whether the incarnation has said that it drains or leaves.
+func (u *Upstream) hasAnnouncedEnd() bool { return u.State == Draining || u.State == Gone }
+
+// describesNothing reports whether the report has none of the facts that the upstream itself reports.
+func (u *Upstream) describesNothing() bool {
+	return u.Service == "" && u.Rack == "" && len(u.Labels) == 0 && u.Capacity == Capacity{} && u.Sequence == 0 && u.Clock == 0
+}
--- a/internal/holder/loss.go
+++ b/internal/holder/loss.go
@@ -134,7 +134,7 @@
 // the others.
 func (h *Holder) tellLoss(now time.Time, u *trackedUpstream, latest time.Time) {
 	exposed := u.exposures()
-	if u.phase == notHeld || u.State != Ready {
+	if u.phase == notHeld || u.hasAnnouncedEnd() {
 		return
 	}
 	earliest := u.lastAliveAt().Add(-transitTime)
@@ -233,7 +233,7 @@
 // isCrash reports whether the process of the upstream has ended unannounced while its host
 // went on.
 func (u *trackedUpstream) isCrash(now time.Time, kind lossKind) bool {
-	if u.State != Ready {
+	if u.hasAnnouncedEnd() {
 		return false
 	}
 	// A host that ends a connection is up then. Otherwise a refusal must follow soon.
--- a/internal/holder/place_benchmark_test.go
+++ b/internal/holder/place_benchmark_test.go
@@ -22,8 +22,9 @@
 	}
 	for i := range 90 {
 		u := &trackedUpstream{
-			Upstream: testUpstream(fmt.Sprint("u", i), "a"), runs: map[runKey]*run{}, speed: 0.6 + random.Float64(), lastHeartbeatAt: now, answeredAt: now,
+			incarnation: newIncarnation(testUpstream(fmt.Sprint("u", i), "a")), runs: map[runKey]*run{}, lastHeartbeatAt: now, answeredAt: now,
 		}
+		u.speed = 0.6 + random.Float64()
 		u.Capacity.MilliCores = 16_000
 		h.upstreams[u.ID] = u
 		h.setPhase(u, active)
--- a/internal/holder/place_test.go
+++ b/internal/holder/place_test.go
@@ -17,7 +17,7 @@
 	h := New(Config{VM: "1", DataCentre: "a", Timing: DefaultTiming(), TokenEpoch: testStart})
 	h.out = &Effects{}
 	for i := range upstreams {
-		u := &trackedUpstream{Upstream: testUpstream(fmt.Sprint("u", i), "a"), runs: map[runKey]*run{}, speed: 1, lastHeartbeatAt: now, answeredAt: now}
+		u := &trackedUpstream{incarnation: newIncarnation(testUpstream(fmt.Sprint("u", i), "a")), runs: map[runKey]*run{}, lastHeartbeatAt: now, answeredAt: now}
 		h.upstreams[u.ID] = u
 		h.setPhase(u, active)
 	}
--- a/internal/holder/results.go
+++ b/internal/holder/results.go
@@ -12,9 +12,7 @@
 		return
 	}
 	if u.isOfLaterIncarnation(r) {
-		h.handleRestart(now, u, "answer", now.Add(-r.Clock))
-		// The heartbeats of the new incarnation are counted anew, and so is its clock.
-		u.StartedAt, u.Sequence, u.Clock = r.StartedAt, 0, 0
+		h.handleRestart(now, u, u.unreported(r.Call.Address, r.StartedAt), "answer", now.Add(-r.Clock))
 		if r.Call.Kind == StartCall {
 			h.handleStartResult(now, u, r)
 		}
--- a/internal/holder/upstream.go
+++ b/internal/holder/upstream.go
@@ -50,12 +50,15 @@
 
 // The states of an upstream.
 const (
-	Ready State = iota + 1
+	// Unreported: the incarnation has answered a call, and no report of it has arrived. Its service,
+	// labels and capacity are not known, and nothing is started there.
+	Unreported State = iota
+	Ready
 	Draining
 	Gone
 )
 
-// Upstream is the state of an upstream from its own heartbeats.
+// Upstream is the state of one incarnation of an upstream from its own heartbeats.
 type Upstream struct {
 	ID         string
 	Service    string
@@ -94,8 +97,10 @@
 	switch {
 	case !validator.IsName(u.ID), !validator.IsText(u.Service, validator.MaxNameBytes), !validator.IsText(u.DataCentre, validator.MaxNameBytes):
 		return fmt.Errorf("%w: id, service or data centre", ErrInvalidUpstream)
-	case u.State < Ready || u.State > Gone:
+	case u.State < Unreported || u.State > Gone:
 		return fmt.Errorf("%w: state %d", ErrInvalidUpstream, u.State)
+	case u.State == Unreported && !u.describesNothing():
+		return fmt.Errorf("%w: no state, but a description", ErrInvalidUpstream)
 	case !validator.IsDialable(u.Address):
 		return fmt.Errorf("%w: address %s", ErrInvalidUpstream, u.Address)
 	case !u.Capacity.IsValid():
@@ -118,10 +123,13 @@
 }
 
 // isNewerThan reports whether a heartbeat replaces another: by a later incarnation or,
-// within one, by a higher sequence number.
+// within one, by being the first or by a higher sequence number.
 func (u *Upstream) isNewerThan(o *Upstream) bool {
-	if !u.StartedAt.Equal(o.StartedAt) {
+	switch {
+	case !u.StartedAt.Equal(o.StartedAt):
 		return u.StartedAt.After(o.StartedAt)
+	case u.State == Unreported || o.State == Unreported:
+		return u.State != Unreported
 	}
 	return u.Sequence > o.Sequence
 }
