Dispatcher: a restart learned from an answer brings no facts of the former incarnation

What callers could see: tasks started on an upstream by the services, the capacity and the capabilities that its former incarnation had announced, until the next announcement, up to a second later. By reading, then by the tests.

Cause: learnRestart copied the announcement of the former incarnation under the memory of the new one and sent it to the peers; the scheduler kept measured speed, limit and pause over a restart.

Change: learnRestart makes an upstream of which only name, address, data centre and memory are known (unannounced). It offers no slots; jobs that it may serve again wait for its announcement instead of being refused. It is asked to fence, since whether it can is not known. Of one incarnation the announcement is used in place of the news without one in whatever order peers tell of them. What earlier starts may have run on goes by the services of all known incarnations, which is the one question that the former incarnation answers. The scheduler keeps what it has measured in one value that a restart replaces. Event 606 tells of a restart that was learned so.

--- a/internal/dispatcher/claim.go
+++ b/internal/dispatcher/claim.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"bronzedrift.example/bronzedrift/internal/recorder"
@@ -97,7 +98,7 @@
 		return
 	}
 	for name, u := range d.upstreams {
-		if _, acked := c.ackedMemorySince[name]; u.HasCapability(Fence) && !acked && c.fenceFailures[name] == 0 {
+		if _, acked := c.ackedMemorySince[name]; u.mayFence() && !acked && c.fenceFailures[name] == 0 {
 			return
 		}
 	}
@@ -239,7 +240,7 @@
 }
 
 func (d *Dispatcher) sendFence(c *claim, u *Upstream, delay time.Duration) {
-	if !u.HasCapability(Fence) {
+	if !u.mayFence() {
 		return
 	}
 	delete(c.ackedMemorySince, u.Name)
@@ -353,12 +354,12 @@
 	}
 	memoryNeededSince := j.Submitted.Add(-d.config.Limits.ClockSkew)
 	for name, u := range d.upstreams {
-		if !u.offers(j.Service) {
+		since, ok := c.ackedMemorySince[name]
+		if !d.hasOffered(name, j.Service) && (ok || u.IsAnnounced()) {
 			continue
 		}
-		since, ok := c.ackedMemorySince[name]
 		switch {
-		case !u.HasCapability(Fence), ok && since.After(memoryNeededSince):
+		case !u.mayFence(), ok && since.After(memoryNeededSince):
 			return startsUnknown
 		case !ok && now.Before(c.claimedAt.Add(claimWait)):
 			result = startsPending
@@ -369,11 +370,20 @@
 	return result
 }
 
-func (u *Upstream) offers(service string) bool {
-	for _, s := range u.Services {
-		if s == service {
-			return true
+func (u *Upstream) offers(service string) bool { return slices.Contains(u.Services, service) }
+
+// noteServices adds the services of an announcement to those that incarnations of the upstream
+// have offered.
+func (d *Dispatcher) noteServices(u *Upstream) {
+	for _, service := range u.Services {
+		if !d.hasOffered(u.Name, service) {
+			d.offeredServices[u.Name] = append(d.offeredServices[u.Name], service)
 		}
 	}
-	return false
+}
+
+// hasOffered reports whether any known incarnation of an upstream, and so one that may have run an
+// earlier start, has offered a service.
+func (d *Dispatcher) hasOffered(upstream, service string) bool {
+	return slices.Contains(d.offeredServices[upstream], service)
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -47,17 +47,19 @@
 // Dispatcher makes the decisions of one entry. It is not safe for concurrent
 // use.
 type Dispatcher struct {
-	config           Config
-	startedAt        time.Time
-	router           *router.Router
-	teams            map[string]Team
-	services         map[string]Service
-	upstreams        map[string]*Upstream
-	shedder          *shedder.Shedder
-	fencingCount     int
-	unusableSince    map[string]time.Time
-	linked           map[string]bool
-	peerStartedAt    map[string]time.Time
+	config        Config
+	startedAt     time.Time
+	router        *router.Router
+	teams         map[string]Team
+	services      map[string]Service
+	upstreams     map[string]*Upstream
+	shedder       *shedder.Shedder
+	fencingCount  int
+	unusableSince map[string]time.Time
+	linked        map[string]bool
+	peerStartedAt map[string]time.Time
+	// offeredServices are those that the known incarnations of each upstream have offered.
+	offeredServices  map[string][]string
 	claims           map[string]*claim
 	jobs             map[string]*job
 	runs             map[runKey]scheduler.Release
@@ -128,6 +130,7 @@
 		unusableSince:    map[string]time.Time{},
 		linked:           map[string]bool{},
 		peerStartedAt:    map[string]time.Time{},
+		offeredServices:  map[string][]string{},
 		claims:           map[string]*claim{},
 		jobs:             map[string]*job{},
 		runs:             map[runKey]scheduler.Release{},
@@ -381,7 +384,7 @@
 // came from the upstream itself and not from a peer.
 func (d *Dispatcher) handleAnnouncement(now time.Time, u *Upstream, direct bool) {
 	known := d.upstreams[u.Name]
-	if known != nil && !direct && !u.Announced.After(known.Announced) {
+	if known != nil && !u.replaces(known, direct) {
 		return
 	}
 	changed := known == nil || !known.isSame(u)
@@ -391,6 +394,7 @@
 		return
 	}
 	d.updateFencingCount(known, u)
+	d.noteServices(u)
 	if direct {
 		d.broadcast(Message{Announce: u})
 	}
@@ -431,7 +435,8 @@
 	delete(d.upstreams, u.Name)
 	delete(d.unusableSince, u.Name)
 	delete(d.incarnationOf, u.Name)
-	if u.HasCapability(Fence) {
+	delete(d.offeredServices, u.Name)
+	if u.mayFence() {
 		d.fencingCount--
 	}
 	for _, c := range d.claims {
@@ -443,19 +448,22 @@
 	}
 }
 
-// updateFencingCount maintains the number of upstreams that can fence.
+// updateFencingCount maintains the number of upstreams that may fence.
 func (d *Dispatcher) updateFencingCount(known, u *Upstream) {
-	if known != nil && known.HasCapability(Fence) {
+	if known != nil && known.mayFence() {
 		d.fencingCount--
 	}
-	if u.HasCapability(Fence) {
+	if u.mayFence() {
 		d.fencingCount++
 	}
 }
 
 func (d *Dispatcher) recordAnnouncement(u *Upstream) {
 	number := recorder.UpstreamAnnounced
-	if u.Leaving {
+	switch {
+	case !u.IsAnnounced():
+		number = recorder.UpstreamRestarted
+	case u.Leaving:
 		number = recorder.UpstreamLeaving
 	}
 	d.recordEvent(recorder.Event{Number: number, Upstream: u.Name, Task: recorder.NoTask})
--- a/internal/dispatcher/incarnation.go
+++ b/internal/dispatcher/incarnation.go
@@ -13,14 +13,13 @@
 }
 
 // learnRestart applies what the answer to an order proves: that an upstream remembers tasks
-// since another time than the order expected. An order that expected another memory than the
-// one announced by now proves nothing, since the announcement may be the later one.
+// since another time than the order expected. Nothing else is known of that incarnation before it
+// announces itself. An order that expected another memory than the one announced by now proves
+// nothing, since the announcement may be the later one.
 func (d *Dispatcher) learnRestart(now time.Time, upstream string, expected, since time.Time) {
 	u := d.upstreams[upstream]
 	if u == nil || !u.MemorySince.Equal(expected) {
 		return
 	}
-	restarted := *u
-	restarted.MemorySince, restarted.Announced = since, now
-	d.handleAnnouncement(now, &restarted, true)
+	d.handleAnnouncement(now, u.unannounced(now, since), true)
 }
--- a/internal/dispatcher/job.go
+++ b/internal/dispatcher/job.go
@@ -119,10 +119,32 @@
 	// MemorySince is when the upstream's memory of tasks begins, zero if it is
 	// not announced.
 	MemorySince time.Time
-	// Announced is when an entry received the announcement.
+	// Announced is when an entry received the announcement, or learned of an incarnation that has
+	// announced nothing yet.
 	Announced time.Time
 }
 
+// IsAnnounced reports whether the incarnation has announced itself. Of one that is known from an
+// answer only, neither services nor capacity nor capabilities are known, and nothing is started there.
+func (u *Upstream) IsAnnounced() bool { return u.Capacity.Slots > 0 }
+
+// unannounced returns the upstream in another incarnation, whose memory begins at since.
+func (u *Upstream) unannounced(now, since time.Time) *Upstream {
+	return &Upstream{Name: u.Name, Address: u.Address, DataCentre: u.DataCentre, MemorySince: since, Announced: now}
+}
+
+// replaces reports whether an announcement is used in place of the known one. A direct one has come
+// from the upstream itself. Of one incarnation its own announcement is used, whenever it arrives.
+func (u *Upstream) replaces(known *Upstream, direct bool) bool {
+	if u.IsAnnounced() != known.IsAnnounced() && IsSameMemory(u.MemorySince, known.MemorySince) {
+		return u.IsAnnounced()
+	}
+	return direct || u.Announced.After(known.Announced)
+}
+
+// mayFence reports whether the upstream can fence or has not announced whether it can.
+func (u *Upstream) mayFence() bool { return u.HasCapability(Fence) || !u.IsAnnounced() }
+
 // HasCapability reports whether the upstream announced a capability.
 func (u *Upstream) HasCapability(c Capability) bool {
 	for _, have := range u.Capabilities {
--- a/internal/dispatcher/lessor.go
+++ b/internal/dispatcher/lessor.go
@@ -59,7 +59,7 @@
 
 func (l *lessor) announce(u *Upstream, down bool) {
 	l.scheduler.Announce(scheduler.Upstream{
-		Name: u.Name, Capacity: u.Capacity, Services: u.Services, Leaving: u.Leaving,
+		Name: u.Name, Capacity: u.Capacity, Services: u.Services, Leaving: u.Leaving, StartedAt: u.MemorySince,
 	})
 	l.scheduler.SetDown(u.Name, down)
 }
--- a/internal/dispatcher/owner.go
+++ b/internal/dispatcher/owner.go
@@ -255,8 +255,8 @@
 	return d.isAnyEvacuated() && d.newEvacuationCheck(now).isJobEvacuated(s)
 }
 
-// hasCapacity reports whether each task of a job fits the total capacity of
-// some announced upstream.
+// hasCapacity reports whether each task of a job fits the total capacity of some announced
+// upstream, or an upstream has restarted and not announced its capacity yet.
 func (d *Dispatcher) hasCapacity(s *Job) bool {
 	for i := range s.Tasks {
 		if i > 0 && s.Tasks[i].Shape == s.Tasks[i-1].Shape {
@@ -271,7 +271,7 @@
 
 func (d *Dispatcher) hasTaskCapacity(service string, t *Task) bool {
 	for _, u := range d.upstreams {
-		if u.Capacity.Fits(t.Shape) && u.offers(service) {
+		if u.Capacity.Fits(t.Shape) && u.offers(service) || !u.IsAnnounced() && d.hasOffered(u.Name, service) {
 			return true
 		}
 	}
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -50,6 +50,7 @@
 	VerdictObeyed:       {"verdict-obeyed", true, false},
 	VerdictOutOfDate:    {"verdict-out-of-date", false, false},
 	LessorChanged:       {"lessor-changed", true, false},
+	UpstreamRestarted:   {"upstream-restarted", true, false},
 	SecretRefused:       {"secret-refused", true, true},
 	ConfigurationInUse:  {"configuration-in-use", true, false},
 	ElectionWon:         {"election-won", true, false},
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -49,6 +49,7 @@
 	VerdictObeyed       EventNumber = 603
 	VerdictOutOfDate    EventNumber = 604
 	LessorChanged       EventNumber = 605
+	UpstreamRestarted   EventNumber = 606
 	SecretRefused       EventNumber = 701
 	ConfigurationInUse  EventNumber = 702
 	ElectionWon         EventNumber = 703
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -179,11 +179,14 @@
 func (s *Scheduler) Announce(a Upstream) {
 	u := s.upstreams[a.Name]
 	if u == nil {
-		u = &upstream{Upstream: Upstream{Name: a.Name}}
-		u.limit = newLimit(a.Capacity.Slots)
+		u = &upstream{Upstream: Upstream{Name: a.Name, StartedAt: a.StartedAt}, measurements: measurements{limit: newLimit(a.Capacity.Slots)}}
 		s.upstreams[a.Name] = u
 	}
 	s.leavePools(u)
+	if !u.StartedAt.Equal(a.StartedAt) {
+		s.paused = slices.DeleteFunc(s.paused, func(p *upstream) bool { return p == u })
+		u.measurements = measurements{limit: newLimit(a.Capacity.Slots)}
+	}
 	u.Upstream = a
 	u.limit.SetCeiling(max(1, a.Capacity.Slots))
 	u.updateOffer()
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -280,3 +280,27 @@
 	b.Run("50-upstreams", func(b *testing.B) { benchmarkDecision(b, 50) })
 	b.Run("1200-upstreams", func(b *testing.B) { benchmarkDecision(b, 1200) })
 }
+
+// TestRestartForgetsMeasurements guards against tasks that are placed by the speed, the limit or the
+// pause of a former incarnation of an upstream.
+func TestRestartForgetsMeasurements(t *testing.T) {
+	s := newTestScheduler()
+	u := testUpstream("a", 8)
+	u.StartedAt = testNow
+	s.Announce(u)
+	known := s.upstreams["a"]
+	known.memberships[0].logSlowdown, known.memberships[0].samples = 2, 9
+	known.paused, s.paused = true, []*upstream{known}
+	for range 3 {
+		known.limit.RecordFailure(testNow, time.Second)
+	}
+	s.Announce(u)
+	assert.EqualValues(t, 2, known.memberships[0].logSlowdown, "forgotten without a restart")
+	u.StartedAt = testNow.Add(time.Second)
+	s.Announce(u)
+	assert.Zero(t, known.memberships[0].logSlowdown)
+	assert.Zero(t, known.memberships[0].samples)
+	assert.False(t, known.paused)
+	assert.Empty(t, s.paused)
+	assert.Equal(t, 8, known.limit.Limit())
+}
--- a/internal/scheduler/upstream.go
+++ b/internal/scheduler/upstream.go
@@ -13,6 +13,8 @@
 	Capacity Shape
 	Services []string
 	Leaving  bool
+	// StartedAt identifies the incarnation, zero if it is not announced.
+	StartedAt time.Time
 }
 
 // upstream is an announced upstream with its used capacity and its state.
@@ -21,12 +23,19 @@
 	used Shape
 	// offered is how many slots are granted: all of them, or fewer while the upstream returns
 	// from an evacuation.
-	offered     int
-	returning   bool
-	running     int
-	down        bool
-	paused      bool
-	limit       limiter.Concurrency
+	offered   int
+	returning bool
+	running   int
+	down      bool
+	measurements
+}
+
+// measurements are what was learned of one incarnation of an upstream. A restart replaces the value
+// as a whole.
+type measurements struct {
+	paused bool
+	limit  limiter.Concurrency
+	// memberships hold the measured speed for each service.
 	memberships []*poolMember
 }
 
