Holder: held upstreams list their runs before they are used after a stall

What callers could see: tasks on an upstream without the label that they need. An idle upstream restarts as another kind while the VM that holds it is frozen; nothing ran there whose loss would tell, and the first order after the stall was started by the facts of the former incarnation.

Change: after a stall, which abandons all jobs of the VM, each held upstream gets a hold call, and nothing new starts there before a list that was asked for since. The list tells of a restart.

Seen: TestRestartDuringStall failed before (both cases: started before the upstream has answered); passes now, with the tests of holder, conductor and forwarder. By reading and by this test; no run of the real programs has shown it.

--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -263,7 +263,8 @@
 }
 
 // HandleStall is called after this VM was stalled. All jobs are abandoned, since what their
-// entries have decided in the meantime is unknown. The steps of evacuations that fell due are
+// entries have decided in the meantime is unknown. The held upstreams list their runs before they
+// are used again, since they may have restarted. The steps of evacuations that fell due are
 // taken before the next order.
 func (h *Holder) HandleStall(now time.Time, gap time.Duration, out *Effects) {
 	h.out = out
@@ -271,6 +272,12 @@
 	for vm := range h.entries {
 		h.abandonEntryJobs(now, vm, "this VM stood still")
 	}
+	for _, u := range h.lookHeld() {
+		if u.phase == active {
+			u.stalledAt = now
+			h.sendHold(now, u, 0)
+		}
+	}
 	if h.evacuator.Tick(now) {
 		h.updateAccess()
 	}
--- a/internal/holder/incarnation_test.go
+++ b/internal/holder/incarnation_test.go
@@ -150,3 +150,32 @@
 		})
 	}
 }
+
+// TestRestartDuringStall guards against tasks on an upstream without the label that they need: it has
+// restarted as another kind while the VM that holds it was frozen, and nothing ran there whose loss
+// would tell.
+func TestRestartDuringStall(t *testing.T) {
+	for name, test := range map[string]struct {
+		restarts bool
+		starts   int
+	}{
+		"restarted":    {true, 0},
+		"still itself": {false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, u, call := newLabelled(t, "b")
+			now := call.SentAt.Add(2 * time.Second)
+			var out Effects
+			h.HandleStall(now, 2*time.Second, &out)
+			started, _ := submitAt(h, now, labelledOrder("early", "b", 1000))
+			assert.Empty(t, started, "started before the upstream has answered")
+			startedAt := u.StartedAt
+			if test.restarts {
+				startedAt = now.Add(-time.Second)
+			}
+			answerNext(h, now, out.Calls, startedAt)
+			started, _ = submitAt(h, now, labelledOrder("late", "b", 1000))
+			assert.Len(t, started, test.starts)
+		})
+	}
+}
--- a/internal/holder/results.go
+++ b/internal/holder/results.go
@@ -190,6 +190,9 @@
 	}
 	h.needsPlacement = h.needsPlacement || u.isUnresponsive
 	u.isUnresponsive, u.listedAt = false, now
+	if !u.stalledAt.IsZero() && !result.Call.SentAt.Before(u.stalledAt) {
+		u.stalledAt, h.needsPlacement = time.Time{}, true
+	}
 	if u.fencedAt.IsZero() {
 		u.fencedAt = now
 	}
