Holder: a start answered by another clock keeps new runs off the upstream

What callers could see: further tasks on an upstream that had restarted as another kind. The answer to a start carries no start time; a clock that has begun at another moment tells of the restart, and only the lease of that run made use of it. Starts by the facts of the former incarnation went on until the next list, which a hold call may delay by its wait.

Change: such an answer, like a stall, makes the known incarnation doubtful: the next tick asks for a list, and nothing new starts before it.

Seen: TestRestartInAnswerToStart failed before (the second start was sent); passes now with the tests of holder, conductor and forwarder.

--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -60,9 +60,9 @@
 	fencedAt time.Time
 	// isUnresponsive is set while the latest hold call has failed.
 	isUnresponsive bool
-	// stalledAt is when this VM went on after a stall, zero once the upstream has listed its runs
-	// since: it may have restarted meanwhile.
-	stalledAt time.Time
+	// doubtedAt is when it became doubtful that the known incarnation is the current one, zero once the
+	// upstream has listed its runs since.
+	doubtedAt time.Time
 	// loss is the evidence since lostAt that the upstream has lost its runs, and firstSign
 	// the first one.
 	loss, firstSign lossKind
@@ -184,7 +184,7 @@
 
 // isOperational reports whether new runs may start there, evacuations aside.
 func (u *trackedUpstream) isOperational(now time.Time) bool {
-	return u.phase == active && u.State == Ready && !now.Before(u.pausedUntil) && !u.isUnresponsive && u.stalledAt.IsZero() && !u.hasUnconfirmedStop(now)
+	return u.phase == active && u.State == Ready && !now.Before(u.pausedUntil) && !u.isUnresponsive && u.doubtedAt.IsZero() && !u.hasUnconfirmedStop(now)
 }
 
 // isUsableSoon reports whether new runs may start there now, or as soon as the
@@ -395,6 +395,10 @@
 		h.sendHold(now, u, 0)
 		return
 	}
+	if u.phase == active && u.holdSentAt.Before(u.doubtedAt) {
+		h.sendHold(now, u, 0)
+		return
+	}
 	if u.holdPending && u.phase == active && !u.isUnresponsive && h.isLosingCalls() && len(u.runs) > 0 && now.Sub(u.holdSentAt) >= losingHoldInterval {
 		h.sendHold(now, u, h.holdWait())
 		return
@@ -407,7 +411,7 @@
 		return
 	}
 	switch {
-	case u.phase == taking, u.isUnresponsive, !u.stalledAt.IsZero():
+	case u.phase == taking, u.isUnresponsive, !u.doubtedAt.IsZero():
 		h.sendHold(now, u, 0)
 	case u.hasStoppingRun():
 		h.sendHold(now, u, h.config.Timing.StopTime)
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -273,10 +273,7 @@
 		h.abandonEntryJobs(now, vm, "this VM stood still")
 	}
 	for _, u := range h.lookHeld() {
-		if u.phase == active {
-			u.stalledAt = now
-			h.sendHold(now, u, 0)
-		}
+		u.doubt(now)
 	}
 	if h.evacuator.Tick(now) {
 		h.updateAccess()
--- a/internal/holder/incarnation.go
+++ b/internal/holder/incarnation.go
@@ -42,3 +42,12 @@
 func (u *Upstream) describesNothing() bool {
 	return u.Service == "" && u.Rack == "" && len(u.Labels) == 0 && u.Capacity == Capacity{} && u.Sequence == 0 && u.Clock == 0
 }
+
+// doubt keeps new runs off a held upstream until it has listed its runs, which the next tick asks for,
+// since the known incarnation may not be the current one.
+func (u *trackedUpstream) doubt(now time.Time) {
+	if u.phase != active || !u.doubtedAt.IsZero() {
+		return
+	}
+	u.doubtedAt = now
+}
--- a/internal/holder/results.go
+++ b/internal/holder/results.go
@@ -34,6 +34,9 @@
 			u.observeClock(now, r.Clock, h.config.Timing.ClockDrift)
 			u.observeCeiling(now, r, h.config.Timing.ClockDrift)
 		}
+		if !isLocated {
+			u.doubt(now)
+		}
 		if r.Status == CallOK && isLocated {
 			u.confirmedLeaseEnd = max(u.confirmedLeaseEnd, r.Call.LeaseUntil)
 		}
@@ -190,8 +193,8 @@
 	}
 	h.needsPlacement = h.needsPlacement || u.isUnresponsive
 	u.isUnresponsive, u.listedAt = false, now
-	if !u.stalledAt.IsZero() && !result.Call.SentAt.Before(u.stalledAt) {
-		u.stalledAt, h.needsPlacement = time.Time{}, true
+	if !u.doubtedAt.IsZero() && !result.Call.SentAt.Before(u.doubtedAt) {
+		u.doubtedAt, h.needsPlacement = time.Time{}, true
 	}
 	if u.fencedAt.IsZero() {
 		u.fencedAt = now
