Clients that do not keep to the limits: one package serves every address

What callers saw: a crowd of clients that nobody controls ended a process for want of memory, or shut all others out by its descriptors.

Cause: each request had a limit, their sum had none. Bodies were read into buffers that grow by copying and held as long as their clients liked, heads up to 1 MiB, connections up to the descriptors of the process. Two set-ups of the server, and each handler read its body by itself.

Change: internal/acceptor (docs/design/acceptor.md) serves callers, control, operators, readiness and metrics of both engines. Connections are bounded by half of the descriptors and by the memory, with a part for each address; bodies over 8 KiB reserve their whole size of one budget, wait for it, or are refused with 503, which promises that nothing runs; heads end at maxHeaderBytes of the configuration. While something is short, what stands still within a request is closed, and a client that goes on sending never is. A body is read before its handler, so that no handler can forget the limit. The inner address bounds the connections that have not sent a greeting.

--- a/internal/assembler/upstream.go
+++ b/internal/assembler/upstream.go
@@ -9,7 +9,9 @@
 	"net/netip"
 	"time"
 
+	"bronzedrift.example/bronzedrift/internal/acceptor"
 	"bronzedrift.example/bronzedrift/internal/listener"
+	"bronzedrift.example/bronzedrift/internal/loader"
 	"bronzedrift.example/bronzedrift/pkg/runner"
 )
 
@@ -72,7 +74,11 @@
 		defer close(done)
 		u.Announce(ctx)
 	}()
-	_ = listener.Serve(ctx, u.socket, u.Handler(), upstreamShutdownGrace)
+	a := acceptor.New(acceptor.Config{Limits: acceptor.DefaultLimits(), Now: time.Now})
+	_ = listener.Serve(ctx, a.NewServer(u.socket, acceptor.Address{
+		Name: "upstream", IsMain: true, Handler: u.Handler(), Refuse: listener.RefuseBusy,
+		MaxBody: func(*http.Request) int64 { return loader.Defaults().Limits.MaxBodyBytes },
+	}), upstreamShutdownGrace)
 	<-done
 }
 
--- a/internal/conductor/metrics.go
+++ b/internal/conductor/metrics.go
@@ -109,6 +109,9 @@
 	}
 }
 
+// RegisterMetrics adds metrics of the process to those of MetricsHandler.
+func (d *Conductor) RegisterMetrics(c ...prometheus.Collector) { d.metrics.registry.MustRegister(c...) }
+
 // MetricsHandler serves the metrics in the Prometheus text format.
 func (d *Conductor) MetricsHandler() http.Handler {
 	return promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
 
+	"bronzedrift.example/bronzedrift/internal/acceptor"
 	"bronzedrift.example/bronzedrift/internal/dispatcher"
 	"bronzedrift.example/bronzedrift/internal/keeper"
 	"bronzedrift.example/bronzedrift/internal/listener"
@@ -40,6 +41,7 @@
 	messenger      *messenger.Messenger
 	sender         *sender.Sender
 	listener       *listener.Listener
+	acceptor       *acceptor.Acceptor
 	keeper         *keeper.Keeper
 	configVersion  atomic.Uint64
 	registry       *prometheus.Registry
@@ -84,6 +86,7 @@
 	d.sender = sender.New(sender.Config{
 		MaxIdleConnections: s.Limits.ConnectionsPerUpstream, MaxResultBytes: s.Limits.MaxResultBytes, Now: d.now,
 	})
+	d.acceptor = d.newAcceptor()
 	if err := d.initListener(); err != nil {
 		return nil, err
 	}
@@ -194,10 +197,12 @@
 		return err
 	}
 	supervised.Add(supervisor.Duty{Name: "operators", Run: func(ctx context.Context) error {
-		return listener.Serve(ctx, operators, d.listener.Operators(), shutdownGrace)
+		return listener.Serve(ctx, d.server(operators, acceptor.Address{
+			Name: "operators", IsMain: !d.settings.Has(loader.Entry), Handler: d.listener.Operators(), MaxBody: d.listener.BodyLimit,
+		}), shutdownGrace)
 	}})
 	supervised.Add(supervisor.Duty{Name: "metrics", Run: func(ctx context.Context) error {
-		return listener.Serve(ctx, metrics, d.metricsHandler(), shutdownGrace)
+		return listener.Serve(ctx, d.server(metrics, acceptor.Address{Name: "metrics", Handler: d.metricsHandler()}), shutdownGrace)
 	}})
 	if d.settings.Has(loader.Entry) {
 		supervised.Add(supervisor.Duty{Name: "callers", Run: d.serveCallers})
@@ -219,7 +224,28 @@
 		return err
 	}
 	d.record(recorder.Event{Number: recorder.ListenerReady, Text: socket.Addr().String(), Task: recorder.NoTask})
-	return listener.Serve(ctx, socket, d.listener.Callers(), shutdownGrace)
+	return listener.Serve(ctx, d.server(socket, acceptor.Address{
+		Name: "callers", IsMain: true, Handler: d.listener.Callers(), MaxBody: d.listener.BodyLimit,
+	}), shutdownGrace)
+}
+
+func (d *Daemon) server(socket net.Listener, a acceptor.Address) *acceptor.Server {
+	a.Refuse = listener.RefuseBusy
+	return d.acceptor.NewServer(socket, a)
+}
+
+// newAcceptor bounds what clients hold of the descriptors and the memory of this process.
+func (d *Daemon) newAcceptor() *acceptor.Acceptor {
+	l := d.settings.Limits
+	limits := acceptor.DefaultLimits()
+	limits.Connections, limits.BodyBytes = l.ClientConnections, l.ClientBodyBytes
+	descriptors, _ := acceptor.ProcessDescriptors()
+	return acceptor.New(acceptor.Config{
+		Limits: limits.Within(descriptors, 0, l.MaxBodyBytes), Now: d.now,
+		Closed: func(address string, kind acceptor.Kind, count int) {
+			d.record(recorder.Event{Number: recorder.ClientsClosed, Text: fmt.Sprintf("%s: %s, %d", address, kind, count), Task: recorder.NoTask})
+		},
+	})
 }
 
 func listen(a netip.AddrPort) (net.Listener, error) {
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -108,6 +108,7 @@
 func (d *Daemon) newRegistry() *prometheus.Registry {
 	r := prometheus.NewRegistry()
 	r.MustRegister(d.evacuated)
+	r.MustRegister(d.acceptor.Collectors()...)
 	counter := func(name, help string, value func(s *dispatcher.Snapshot) float64) {
 		r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "bronzedrift", Name: name, Help: help,
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -16,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"bronzedrift.example/bronzedrift/internal/acceptor"
 	"bronzedrift.example/bronzedrift/internal/configurer"
 	"bronzedrift.example/bronzedrift/internal/decoder"
 	"bronzedrift.example/bronzedrift/internal/dispatcher"
@@ -315,15 +315,20 @@
 	_, _ = w.Write(text)
 }
 
-const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-)
+// RefuseBusy answers a request for whose body there is no room. An earlier submission of the same job may
+// have run.
+func RefuseBusy(w http.ResponseWriter, _ *http.Request) {
+	writeAnswer(w, http.StatusServiceUnavailable, &dispatcher.Answer{
+		Outcome: dispatcher.Failed, Ran: dispatcher.Unknown, Reason: dispatcher.Overloaded, RetryAfter: time.Second,
+		Message: "too many requests are being read; nothing was started by this one",
+	})
+}
+
+// BodyLimit returns the limit in bytes of the bodies of all requests.
+func (l *Listener) BodyLimit(*http.Request) int64 { return l.config.MaxBodyBytes }
 
-// Serve serves a handler on an open listener until the context ends. Requests in
-// flight then have the grace period to finish.
-func Serve(ctx context.Context, socket net.Listener, h http.Handler, grace time.Duration) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+// Serve serves an address until the context ends. Requests in flight then have the grace period to finish.
+func Serve(ctx context.Context, server *acceptor.Server, grace time.Duration) error {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -333,8 +338,7 @@
 		_ = server.Shutdown(shutdownCtx)
 		_ = server.Close()
 	}()
-	err := server.Serve(socket)
-	if !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(); err != nil {
 		return fmt.Errorf("listener: %w", err)
 	}
 	<-done
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -161,6 +161,8 @@
 		{"clock-skew", func(v *hujson.Value, p string) { l.ClockSkew = r.duration(v, p, 0, time.Minute) }},
 		{"announcement-wait", func(v *hujson.Value, p string) { l.AnnouncementWait = r.duration(v, p, 0, time.Minute) }},
 		{"drain-timeout", func(v *hujson.Value, p string) { l.DrainTimeout = r.duration(v, p, 0, time.Hour) }},
+		{"client-connections", func(v *hujson.Value, p string) { l.ClientConnections = int(r.integer(v, p, 32, 1_000_000)) }},
+		{"client-body-bytes", func(v *hujson.Value, p string) { l.ClientBodyBytes = r.integer(v, p, kibibyte, 64*gibibyte) }},
 		{"events", func(v *hujson.Value, p string) { l.Events = int(r.integer(v, p, 16, 10_000_000)) }},
 	})
 }
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"bronzedrift.example/bronzedrift/internal/acceptor"
 	"bronzedrift.example/bronzedrift/internal/dispatcher"
 	"bronzedrift.example/bronzedrift/internal/router"
 	"bronzedrift.example/bronzedrift/internal/scheduler"
@@ -74,6 +75,10 @@
 	AnnouncementWait       time.Duration
 	DrainTimeout           time.Duration
 	Events                 int
+	// ClientConnections is the number of connections of clients at all addresses, and ClientBodyBytes
+	// bounds the bodies of their requests together.
+	ClientConnections int
+	ClientBodyBytes   int64
 }
 
 // Has reports whether the daemon has a role.
@@ -121,6 +126,8 @@
 			AnnouncementWait:       1500 * time.Millisecond,
 			DrainTimeout:           30 * time.Second,
 			Events:                 65_536,
+			ClientConnections:      acceptor.DefaultLimits().Connections,
+			ClientBodyBytes:        acceptor.DefaultLimits().BodyBytes,
 		},
 		Weighting: dispatcher.ByResponseTime,
 		Policy:    scheduler.DefaultPolicy(),
--- a/internal/messenger/link.go
+++ b/internal/messenger/link.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
+	"bronzedrift.example/bronzedrift/internal/acceptor"
 	"bronzedrift.example/bronzedrift/internal/dispatcher"
 	"bronzedrift.example/bronzedrift/internal/messenger/wire"
 	"bronzedrift.example/bronzedrift/internal/recorder"
@@ -394,6 +395,9 @@
 		})
 		return
 	}
+	if c, ok := tcp.(*acceptor.IdentifyingConn); ok {
+		c.Identified()
+	}
 	m.readFrames(ctx, from, reader)
 }
 
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"bronzedrift.example/bronzedrift/internal/acceptor"
 	"bronzedrift.example/bronzedrift/internal/dispatcher"
 	"bronzedrift.example/bronzedrift/internal/messenger/wire"
 	"bronzedrift.example/bronzedrift/internal/recorder"
@@ -81,6 +82,14 @@
 	maxAcceptDoublings = 8
 )
 
+const (
+	// maxUnidentified bounds the accepted connections whose peers have not sent a greeting. All VMs of a
+	// deployment may start at the same moment.
+	maxUnidentified = 256
+	// identifyTimeout is above the time of a greeting that is sent again over a link with losses.
+	identifyTimeout = 2 * handshakeTimeout
+)
+
 // protocolVersion is the version of the inner protocol.
 const protocolVersion = 1
 
@@ -115,7 +124,7 @@
 	if err != nil {
 		return nil, errors.Join(errors.New("messenger: opening the inner listener"), err)
 	}
-	m := &Messenger{config: c, handlers: h, links: map[string]*link{}, listener: listener}
+	m := &Messenger{config: c, handlers: h, links: map[string]*link{}, listener: acceptor.NewIdentifyingListener(listener, maxUnidentified, identifyTimeout)}
 	for _, p := range c.Peers {
 		if p.VM != c.VM {
 			m.links[p.VM] = newLink(m, p)
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -59,6 +59,7 @@
 	DiskRefused:         {"disk-refused", true, true},
 	EvacuationChanged:   {"evacuation-changed", true, false},
 	InputDropped:        {"input-dropped", true, true},
+	ClientsClosed:       {"clients-closed", true, true},
 }
 
 // Name returns the name of the event in kebab case.
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -58,6 +58,7 @@
 	DiskRefused         EventNumber = 706
 	EvacuationChanged   EventNumber = 707
 	InputDropped        EventNumber = 708
+	ClientsClosed       EventNumber = 709
 )
 
 // Event is one recorded occurrence of a kind of event.
