Acceptor: an answer to a body that is cut off does not wait for its rest

What callers saw: a client whose body stopped for ten seconds got its answer only when it went away, and kept its connection until then (TestTimeLimitsInCalm took 20 s, its client's limit).

Cause: the HTTP server reads up to 256 KB of an unread body before it answers, and the deadline of the body had been removed.

Change: after an error of the body the connection reads nothing more and is closed with the answer.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -207,10 +207,15 @@
 	c.setPhase(handling)
 	r.Body = body
 	var tooLarge *http.MaxBytesError
-	isNoRoom, isTooLarge := errors.Is(err, errNoRoom), errors.As(err, &tooLarge)
-	if isNoRoom || isTooLarge {
+	isNoRoom := errors.Is(err, errNoRoom)
+	switch {
+	case isNoRoom || errors.As(err, &tooLarge):
 		w.Header().Set("Connection", "close")
 		defer c.drain(w, rest)
+	case err != nil:
+		w.Header().Set("Connection", "close")
+		// The server would wait for the rest of the body before it answers.
+		_ = c.SetReadDeadline(s.acceptor.config.Now())
 	}
 	if isNoRoom {
 		s.acceptor.closings.add(s.address.Name, NoRoom)
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -212,8 +212,8 @@
 	assert.Positive(t, n.(*atomic.Int64).Load())
 }
 
-// TestTimeLimitsInCalm guards against requests that never become complete, and against a loss of these
-// closings from the log.
+// TestTimeLimitsInCalm guards against requests that never become complete, against an answer that waits for
+// the rest of a body, and against a loss of these closings from the log.
 func TestTimeLimitsInCalm(t *testing.T) {
 	limits := testLimits()
 	limits.HeadTimeout, limits.BodyTimeout = 100*time.Millisecond, 100*time.Millisecond
@@ -221,9 +221,12 @@
 	head := f.dial(t)
 	_, err := fmt.Fprint(head, "GET / HTTP/1.1\r\n")
 	require.NoError(t, err)
-	for kind, c := range map[Kind]net.Conn{HeadTimedOut: head, BodyTimedOut: f.begin(t, 100, 1)} {
-		status, _, err := readAnswer(c)
-		assert.True(t, err != nil || status == http.StatusBadRequest, "answered with %d", status)
+	body := f.begin(t, 100, 1)
+	_ = body.SetDeadline(time.Now().Add(5 * time.Second))
+	_, _, err = readAnswer(head)
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	requireAnswer(t, body, http.StatusBadRequest, "")
+	for _, kind := range []Kind{HeadTimedOut, BodyTimedOut} {
 		require.Eventually(t, func() bool { _, ok := f.closed.Load(kind); return ok }, 5*time.Second, time.Millisecond, kind)
 	}
 }
