Conductor: a VM on a new link is told of recent cancellations

Cause: cancellations are kept in the memory of each VM for 15 s. Upstreams and crashes are repeated on a new link, cancellations were not.

Change: a VM sends the cancellations that it knows on each new link, with their ages, in parts of 500; state VMs to all VMs, entries to state VMs. The wire has a new message, which older VMs ignore.

Tests of conductor, holder, forwarder and messenger pass.

--- a/internal/conductor/decoder.go
+++ b/internal/conductor/decoder.go
@@ -124,6 +124,15 @@
 	return n, nil
 }
 
+// decodeCancellations decodes a report that arrives at a time.
+func decodeCancellations(now time.Time, w *wire.CancelReport) []holder.Cancellation {
+	var list []holder.Cancellation
+	for _, c := range w.GetJobs() {
+		list = append(list, holder.Cancellation{JobID: c.GetId(), At: now.Add(-max(0, time.Duration(c.GetAge())))})
+	}
+	return list
+}
+
 func decodeCrashes(w *wire.CrashReport) ([]quarantiner.Crash, error) {
 	var crashes []quarantiner.Crash
 	for _, c := range w.GetCrashes() {
--- a/internal/conductor/encoder.go
+++ b/internal/conductor/encoder.go
@@ -84,6 +84,14 @@
 	}
 }
 
+func encodeCancellations(now time.Time, list []holder.Cancellation) *wire.CancelReport {
+	w := &wire.CancelReport{}
+	for _, c := range list {
+		w.Jobs = append(w.Jobs, &wire.CancelledJob{Id: c.JobID, Age: int64(now.Sub(c.At))})
+	}
+	return w
+}
+
 // encodeCrashes returns the report of losses and crashes that is sent, or if sent is zero
 // stored, at a time.
 func encodeCrashes(sent time.Time, losses []quarantiner.Loss, crashes []quarantiner.Crash) *wire.CrashReport {
--- a/internal/conductor/receive.go
+++ b/internal/conductor/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -75,6 +76,8 @@
 		d.holder.HandleNotice(now, from, notice, &d.holderEffects)
 	case *wire.Relay_ReleaseUpstream:
 		d.holder.Handover(now, from, b.ReleaseUpstream.GetId(), b.ReleaseUpstream.GetToken(), &d.holderEffects)
+	case *wire.Relay_Cancellations:
+		d.holder.HandleCancellations(now, from, decodeCancellations(now, b.Cancellations), &d.holderEffects)
 	case *wire.Relay_Crashes:
 		crashes, err := decodeCrashes(b.Crashes)
 		if err != nil {
@@ -103,7 +106,7 @@
 	}
 	h := decodeHeartbeat(from, incarnation, w)
 	result := d.peers.HandleHeartbeat(now, h, via)
-	d.syncUpstreams(now, from)
+	d.syncPeer(now, from)
 	for _, vm := range result.Found {
 		d.openLink(vm)
 	}
@@ -164,28 +167,47 @@
 			d.forwarder.PeerUp(now, vm, &d.forwarderEffects)
 		}
 		d.unsyncedPeers[vm] = true
-		d.syncUpstreams(now, vm)
+		d.syncPeer(now, vm)
 		h := d.currentHeartbeat(now)
 		d.send(now, vm, &wire.Relay{Body: &wire.Relay_Pulse{Pulse: encodeHeartbeat(&h)}})
 	})
 }
 
-// syncUpstreams sends the notices that a VM on a new link may have missed, as soon as the
-// role and the data centre of the receiver are known.
-func (d *Conductor) syncUpstreams(now time.Time, vm string) {
+// syncPeer sends what a VM on a new link may have missed, as soon as the role and the data centre of the
+// receiver are known.
+func (d *Conductor) syncPeer(now time.Time, vm string) {
 	peer := d.peers.Peer(vm)
 	if !d.unsyncedPeers[vm] || peer == nil {
 		return
 	}
 	delete(d.unsyncedPeers, vm)
+	for _, r := range d.missedBy(now, peer) {
+		d.send(now, vm, r)
+	}
+}
+
+// missedBy returns the notices, cancellations and crashes that a VM on a new link may have missed, or lost
+// with its process.
+func (d *Conductor) missedBy(now time.Time, peer *tracker.Peer) []*wire.Relay {
+	var list []*wire.Relay
 	for _, n := range noticesFor(peer, d.config.IsState, d.holder.Notices()) {
-		d.send(now, vm, &wire.Relay{Body: &wire.Relay_Report{Report: encodeNotice(&n)}})
+		list = append(list, &wire.Relay{Body: &wire.Relay_Report{Report: encodeNotice(&n)}})
+	}
+	// State VMs know all cancellations that are acknowledged, so that entries need not tell each other.
+	if d.config.IsState || peer.IsState {
+		for part := range slices.Chunk(d.holder.Cancellations(now), maxReportedCancellations) {
+			list = append(list, &wire.Relay{Body: &wire.Relay_Cancellations{Cancellations: encodeCancellations(now, part)}})
+		}
 	}
 	if crashes := d.holder.Crashes(now); len(crashes) > 0 && d.needsCrashes(peer) {
-		d.send(now, vm, &wire.Relay{Body: &wire.Relay_Crashes{Crashes: encodeCrashes(now, d.holder.Losses(now), crashes)}})
+		list = append(list, &wire.Relay{Body: &wire.Relay_Crashes{Crashes: encodeCrashes(now, d.holder.Losses(now), crashes)}})
 	}
+	return list
 }
 
+// maxReportedCancellations keeps a message small, since heartbeats wait behind it.
+const maxReportedCancellations = 500
+
 // needsCrashes reports whether a VM may hold upstreams on which the suspects of this one run
 // next.
 func (d *Conductor) needsCrashes(peer *tracker.Peer) bool {
--- a/internal/holder/jobs.go
+++ b/internal/holder/jobs.go
@@ -178,14 +178,47 @@
 func (h *Holder) CancelJob(now time.Time, entryVM, id string, out *Effects) {
 	h.out = out
 	h.cancelled[id] = now
+	h.abandonCancelled(now, entryVM, id)
+}
+
+func (h *Holder) abandonCancelled(now time.Time, peer, id string) {
 	for key, j := range h.jobs {
 		if key.ID == id && !j.abandoned {
-			h.logDecision(Decision{Event: "job-cancelled", Job: id, Request: j.Request, Peer: entryVM})
+			h.logDecision(Decision{Event: "job-cancelled", Job: id, Request: j.Request, Peer: peer})
 			h.abandonJob(now, j, Answer{Outcome: Cancelled})
 		}
 	}
 }
 
+// Cancellation is a caller's cancellation of a job.
+type Cancellation struct {
+	JobID string
+	At    time.Time
+}
+
+// Cancellations returns those for which orders are still refused, for a VM on a new link.
+func (h *Holder) Cancellations(now time.Time) []Cancellation {
+	var list []Cancellation
+	for id, at := range h.cancelled {
+		if now.Sub(at) <= cancelTTL {
+			list = append(list, Cancellation{id, at})
+		}
+	}
+	return list
+}
+
+// HandleCancellations adds cancellations that another VM has been told of.
+func (h *Holder) HandleCancellations(now time.Time, from string, list []Cancellation, out *Effects) {
+	h.out = out
+	for _, c := range list {
+		if now.Sub(c.At) > cancelTTL || !c.At.After(h.cancelled[c.JobID]) {
+			continue
+		}
+		h.cancelled[c.JobID] = c.At
+		h.abandonCancelled(now, from, c.JobID)
+	}
+}
+
 // Withdraw abandons a part of a job that its entry no longer wants, up to an attempt.
 // The withdrawal is remembered if it arrives before its order, which may have taken
 // another path through the network.
