Holder: an upstream that ends an idle connection is listed before it is used

What callers could see: one start by the facts of a former incarnation on an upstream that was idle when it restarted, while the VM that the new incarnation reports to is frozen: no call was open there whose end would tell, and a start names the upstream and not its incarnation.

The holder then takes the known incarnation for doubtful, as after a stall: the next tick asks for a list, and nothing new starts before it.

By reading; no run of the real programs has shown the fault.

--- a/internal/conductor/effects.go
+++ b/internal/conductor/effects.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"net/netip"
 	"time"
 
 	"bronzedrift.example/bronzedrift/internal/forwarder"
@@ -129,6 +130,11 @@
 	}()
 }
 
+// UpstreamConnectionEnded is called when an upstream has ended a connection that was perhaps idle.
+func (d *Conductor) UpstreamConnectionEnded(upstream netip.AddrPort) {
+	d.enqueue(resultInput, func(now time.Time) { d.holder.HandleConnectionEnd(now, upstream) })
+}
+
 func (d *Conductor) respond(v forwarder.Response) {
 	if c := d.waiters[v.Waiter]; c != nil {
 		delete(d.waiters, v.Waiter)
--- a/internal/holder/incarnation.go
+++ b/internal/holder/incarnation.go
@@ -51,3 +51,13 @@
 	}
 	u.doubtedAt = now
 }
+
+// HandleConnectionEnd processes the end of a connection by an upstream, which may have restarted. If the
+// connection was idle, no call tells of it.
+func (h *Holder) HandleConnectionEnd(now time.Time, address netip.AddrPort) {
+	for _, u := range h.lookHeld() {
+		if u.Address == address {
+			u.doubt(now)
+		}
+	}
+}
--- a/internal/holder/incarnation_test.go
+++ b/internal/holder/incarnation_test.go
@@ -204,3 +204,31 @@
 	assert.Equal(t, HoldCall, calls[0].Kind)
 	assert.Zero(t, calls[0].Wait)
 }
+
+// TestRestartOfIdleUpstream guards against a task on an upstream without the label that it needs: nothing
+// runs there whose loss would tell of the restart, and the end of an idle connection does.
+func TestRestartOfIdleUpstream(t *testing.T) {
+	for name, test := range map[string]struct {
+		restarts bool
+		starts   int
+	}{
+		"restarted":    {true, 0},
+		"still itself": {false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, u, call := newLabelled(t, "b")
+			now := call.SentAt.Add(2 * time.Second)
+			h.HandleConnectionEnd(now, u.Address)
+			started, _ := submitAt(h, now, labelledOrder("early", "b", 1000))
+			assert.Empty(t, started, "started before the upstream has answered")
+			startedAt := u.StartedAt
+			if test.restarts {
+				startedAt = now
+			}
+			now = now.Add(20 * time.Millisecond)
+			answerNext(h, now, callsAt(h, now), startedAt)
+			started, _ = submitAt(h, now, labelledOrder("late", "b", 1000))
+			assert.Len(t, started, test.starts)
+		})
+	}
+}
