Holder: a list that was asked for before the latest doubt does not end it

What callers could see: a start by the facts of a former incarnation, where the upstream has answered a list and restarted right after it: the second sign came while the first was still open, and was passed over.

Change: each sign counts anew, and only a list that was asked for since ends it.

Seen: TestListFromBeforeADoubt failed before; passes with the tests of the package.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -100,8 +100,8 @@
 	// IsMain is set for the address that serves the most. It gets the connections that the others
 	// have no part of.
 	IsMain bool
-	// MaxBody is the limit in bytes of a request's body, none if it is nil, and MaxHead that of heads,
-	// DefaultHeadBytes if it is nil.
+	// MaxBody returns the limit in bytes of a request's body, and MaxHead that of heads. Without MaxBody no
+	// request has a body, without MaxHead the limit is DefaultHeadBytes.
 	MaxBody func(r *http.Request) int64
 	MaxHead func() int
 	// Refuse writes the answer to a request for whose body there is no room. Nothing of the body has been
--- a/internal/holder/incarnation.go
+++ b/internal/holder/incarnation.go
@@ -46,10 +46,9 @@
 // doubt keeps new runs off a held upstream until it has listed its runs, which the next tick asks for,
 // since the known incarnation may not be the current one.
 func (u *trackedUpstream) doubt(now time.Time) {
-	if u.phase != active || !u.doubtedAt.IsZero() {
-		return
+	if u.phase == active {
+		u.doubtedAt = now
 	}
-	u.doubtedAt = now
 }
 
 // HandleConnectionEnd processes the end of a connection by an upstream, which may have restarted. If the
--- a/internal/holder/incarnation_test.go
+++ b/internal/holder/incarnation_test.go
@@ -232,3 +232,19 @@
 		})
 	}
 }
+
+// TestListFromBeforeADoubt guards against a list that the former incarnation has given: the connection ends
+// after it was asked for.
+func TestListFromBeforeADoubt(t *testing.T) {
+	h, u, call := newLabelled(t, "b")
+	now := call.SentAt.Add(2 * time.Second)
+	h.HandleConnectionEnd(now, u.Address)
+	now = now.Add(20 * time.Millisecond)
+	asked := callsAt(h, now)
+	require.Len(t, asked, 1)
+	h.HandleConnectionEnd(now.Add(time.Millisecond), u.Address)
+	answerNext(h, now.Add(2*time.Millisecond), asked, u.StartedAt)
+	started, _ := submitAt(h, now.Add(2*time.Millisecond), labelledOrder("job", "b", 1000))
+	assert.Empty(t, started)
+	assert.Len(t, callsAt(h, now.Add(20*time.Millisecond)), 1, "the list is not asked for again")
+}
