Acceptor: a step of the wall clock makes no client stand still

What callers could see: while connections or room are short, a step of the wall clock by a second or more closes clients that go on sending.

Cause: the times of a connection were kept as nanoseconds since 1970, without the monotonic reading.

Change: they are kept as the time since the acceptor was made, which is monotonic.

Seen: the tests of the package pass, without races; a step of the clock itself has no test, since a time whose two readings part cannot be made in one.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -112,7 +112,10 @@
 // Acceptor bounds what the clients of all its servers hold. It is safe for concurrent use.
 type Acceptor struct {
 	config Config
-	bodies *semaphore.Weighted
+	// startedAt is when the acceptor was made. Its connections keep times as what has passed since, which
+	// steps of the wall clock do not change.
+	startedAt time.Time
+	bodies    *semaphore.Weighted
 	// reserved is what is acquired of bodies, for the metrics.
 	reserved atomic.Int64
 	waiting  atomic.Int64
@@ -128,11 +131,16 @@
 
 // New returns an Acceptor without servers.
 func New(c Config) *Acceptor {
-	a := &Acceptor{config: c, bodies: semaphore.NewWeighted(c.Limits.BodyBytes)}
+	a := &Acceptor{config: c, startedAt: c.Now(), bodies: semaphore.NewWeighted(c.Limits.BodyBytes)}
 	a.closings = newClosings(a)
 	return a
 }
 
+// elapsed returns the nanoseconds from startedAt to a time, and timeAt the time after so many.
+func (a *Acceptor) elapsed(t time.Time) int64 { return int64(t.Sub(a.startedAt)) }
+
+func (a *Acceptor) timeAt(elapsed int64) time.Time { return a.startedAt.Add(time.Duration(elapsed)) }
+
 // Server serves one address.
 type Server struct {
 	acceptor *Acceptor
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -257,8 +257,8 @@
 		t.Run(name, func(t *testing.T) {
 			c := &conn{server: &Server{acceptor: a}}
 			c.setPhase(test.phase)
-			c.since.Store(now.Add(-test.age).UnixNano())
-			c.progressAt.Store(now.Add(-test.quit).UnixNano())
+			c.since.Store(a.elapsed(now.Add(-test.age)))
+			c.progressAt.Store(a.elapsed(now.Add(-test.quit)))
 			c.received.Store(test.received)
 			_, closes := c.standing(now, now.Add(-test.shortage), &l)
 			assert.Equal(t, test.closes, closes)
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -30,13 +30,13 @@
 	net.Conn
 	server *Server
 	phase  atomic.Int32
-	// since is when the phase began, and progressAt when a byte was last read, in nanoseconds since 1970.
+	// since is when the phase began, and progressAt when a byte was last read, as Acceptor.elapsed.
 	since, progressAt atomic.Int64
 	// received counts the bytes of the phase.
 	received atomic.Int64
 	// hasServed is set once a request was complete.
 	hasServed atomic.Bool
-	// writingSince is when the write in progress began, zero without one.
+	// writingSince is when the write in progress began, likewise, zero without one.
 	writingSince atomic.Int64
 	closing      sync.Once
 	closeErr     error
@@ -52,7 +52,10 @@
 	return c
 }
 
-func (c *conn) now() int64 { return c.server.acceptor.config.Now().UnixNano() }
+func (c *conn) now() int64 {
+	a := c.server.acceptor
+	return a.elapsed(a.config.Now())
+}
 
 func (c *conn) setPhase(p phase) {
 	now := c.now()
@@ -154,7 +157,7 @@
 
 // Write writes and records how long that takes.
 func (c *conn) Write(p []byte) (int, error) {
-	c.writingSince.Store(c.now())
+	c.writingSince.Store(max(1, c.now()))
 	n, err := c.Conn.Write(p)
 	c.writingSince.Store(0)
 	return n, err
@@ -172,22 +175,22 @@
 // standing returns the kind of closing that fits a connection which has stood still within a request since
 // a time or longer.
 func (c *conn) standing(now, since time.Time, l *Limits) (Kind, bool) {
-	if began := c.writingSince.Load(); began != 0 && now.Sub(later(began, since)) >= l.StallTimeout {
+	if began := c.writingSince.Load(); began != 0 && now.Sub(c.later(began, since)) >= l.StallTimeout {
 		return AnswerNotRead, true
 	}
 	if phase(c.phase.Load()) != readingBody {
 		return "", false
 	}
-	if now.Sub(later(c.progressAt.Load(), since)) >= l.StallTimeout {
+	if now.Sub(c.later(c.progressAt.Load(), since)) >= l.StallTimeout {
 		return BodyStalled, true
 	}
-	elapsed := now.Sub(time.Unix(0, c.since.Load())) - l.StallTimeout
+	elapsed := now.Sub(c.server.acceptor.timeAt(c.since.Load())) - l.StallTimeout
 	return BodyStalled, elapsed > 0 && float64(c.received.Load()) < elapsed.Seconds()*float64(l.BodyRate)
 }
 
-// later returns the later one of a time in nanoseconds since 1970 and another time.
-func later(nanos int64, t time.Time) time.Time {
-	if at := time.Unix(0, nanos); at.After(t) {
+// later returns the later one of a time of the connection and another time.
+func (c *conn) later(elapsed int64, t time.Time) time.Time {
+	if at := c.server.acceptor.timeAt(elapsed); at.After(t) {
 		return at
 	}
 	return t
@@ -208,5 +211,5 @@
 	if phase(c.phase.Load()) != idle || c.received.Load() > 0 {
 		return 0
 	}
-	return now.Sub(time.Unix(0, c.progressAt.Load()))
+	return now.Sub(c.server.acceptor.timeAt(c.progressAt.Load()))
 }
