--- a/review/standins-3/cases.go
+++ b/review/standins-3/cases.go
@@ -4,6 +4,8 @@
 
 import (
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -22,6 +24,8 @@
 	"shrunk":           {states: 3, entries: 4, runners: 24, rules: []string{"LIMIT"}, play: playShrunk, prepare: func(w *world) { w.guards = false }},
 	"mute":             {states: 3, entries: 2, runners: 24, rules: []string{"TWICE"}, play: playMute},
 	"deadly-hang":      {states: 3, entries: 2, runners: 32, rules: []string{"BUDGET"}, play: playDeadly, prepare: func(w *world) { w.hangsFirst, w.backAfter = 600*time.Millisecond, 3*time.Second }},
+	"cancels":          {states: 4, entries: 4, runners: 24, rules: []string{"UNASKED", "TWICE", "REFUSED", "MIXED"}, play: playCancels},
+	"stray":            {states: 3, entries: 2, runners: 24, rules: []string{"TWICE"}, play: playStray},
 	"restarts":         {states: 4, entries: 4, runners: 16, rules: []string{"TWICE", "ORDER", "ROUTE", "UNASKED", "REFUSED", "MIXED", "LIMIT", "Own ends"}, play: playRestarts},
 	"pairs": {states: 4, entries: 4, runners: 16, rules: []string{"TWICE", "ORDER", "ROUTE", "UNASKED", "REFUSED", "MIXED", "LIMIT", "Own ends"}, play: playPairs,
 		prepare: func(w *world) { w.guards = rand.IntN(2) == 0 }},
@@ -136,7 +140,7 @@
 	jobs := w.load(end, 16)
 	if trouble {
 		for _, r := range w.runners {
-			r.lateShare = 0.055
+			r.lateShare = lateShare()
 		}
 		for time.Now().Before(end.Add(-8 * time.Second)) {
 			time.Sleep(4 * time.Second)
@@ -163,6 +167,9 @@
 	end := time.Now().Add(70 * time.Second)
 	jobs := w.load(end, 16)
 	if trouble {
+		for _, r := range w.runners {
+			r.lateShare = lateShare()
+		}
 		for time.Now().Before(end.Add(-10 * time.Second)) {
 			time.Sleep(time.Duration(500+rand.IntN(2500)) * time.Millisecond)
 			n, e := w.states[rand.IntN(len(w.states))], w.entries[rand.IntN(len(w.entries))]
@@ -334,3 +341,79 @@
 	jobs.Wait()
 	return nil
 }
+
+// playCancels plays long jobs, of which many are cancelled at any moment.
+func playCancels(w *world, trouble bool) error {
+	began := time.Now()
+	end := began.Add(50 * time.Second)
+	var jobs sync.WaitGroup
+	for range 40 {
+		jobs.Add(1)
+		go func() {
+			defer jobs.Done()
+			for time.Now().Before(end) {
+				o := w.newOrder([]stepSpec{{Count: 1 + rand.IntN(6), CPU: 3000, MemMB: 64, EstimateMs: 5000}}, 5000, 12*time.Second)
+				var g sync.WaitGroup
+				g.Add(1)
+				go func() {
+					defer g.Done()
+					time.Sleep(time.Duration(rand.IntN(800)) * time.Millisecond)
+					w.cancel(o)
+				}()
+				w.submit(o, 1, func(int) *node { return w.entries[rand.IntN(len(w.entries))] })
+				g.Wait()
+			}
+		}()
+	}
+	for trouble && time.Now().Before(end.Add(-5*time.Second)) {
+		n := w.states[rand.IntN(len(w.states))]
+		switch rand.IntN(3) {
+		case 0:
+			n.freeze(time.Duration(300+rand.IntN(3200)) * time.Millisecond)
+		case 1:
+			_ = n.restart(time.Duration(rand.IntN(800)) * time.Millisecond)
+		case 2:
+			_ = n.terminate(200 * time.Millisecond)
+		}
+		time.Sleep(2 * time.Second)
+	}
+	jobs.Wait()
+	return nil
+}
+
+// lateShare is the share of the orders that get no answer and are carried out late.
+func lateShare() float64 {
+	if text := os.Getenv("LATE"); text != "" {
+		share, _ := strconv.ParseFloat(text, 64)
+		return share
+	}
+	return 0.5
+}
+
+// playStray plays long jobs while a share of the orders is carried out late and runners crash and come back.
+func playStray(w *world, trouble bool) error {
+	began := time.Now()
+	end := began.Add(50 * time.Second)
+	w.press(end, 90, 8, 10000, 500, 40*time.Second)
+	time.Sleep(3 * time.Second)
+	for i := 0; time.Now().Before(end); i++ {
+		if trouble {
+			// Late for 5.5 s, then on time for 2.5 s.
+			for _, r := range w.runners {
+				r.mu.Lock()
+				r.lateShare = 0
+				if i%4 < 3 {
+					r.lateShare = lateShare()
+				}
+				r.mu.Unlock()
+			}
+			if i > 1 {
+				for _, k := range rand.Perm(len(w.runners))[:3] {
+					w.runners[k].crash(false, time.Second)
+				}
+			}
+		}
+		time.Sleep(2 * time.Second)
+	}
+	return nil
+}
--- a/review/standins-3/world.go
+++ b/review/standins-3/world.go
@@ -108,8 +108,10 @@
 )
 
 const (
-	contact    = 3 * time.Second
-	beatJitter = 200 * time.Millisecond
+	cancelBound = 3 * time.Second
+	stopBound   = 50 * time.Millisecond
+	contact     = 3 * time.Second
+	beatJitter  = 200 * time.Millisecond
 )
 
 const (
@@ -452,6 +454,13 @@
 	w.mu.Lock()
 	delete(w.live[l.task], key+"/"+strconv.Itoa(l.number))
 	w.mu.Unlock()
+	if j := l.order; j != nil {
+		j.mu.Lock()
+		if since := time.Since(j.cancelAcked); !j.cancelAcked.IsZero() && since > cancelBound+stopBound {
+			defer w.breach("UNASKED", fmt.Sprintf("%s ran on for %d ms after its cancel", l.task, since.Milliseconds()))
+		}
+		j.mu.Unlock()
+	}
 	if how == "done" && l.order != nil {
 		l.order.mu.Lock()
 		l.order.done[l.task] = true
