--- a/review/standins-3/cases.go
+++ b/review/standins-3/cases.go
@@ -26,6 +26,7 @@
 	"deadly-hang":      {states: 3, entries: 2, runners: 32, rules: []string{"BUDGET"}, play: playDeadly, prepare: func(w *world) { w.hangsFirst, w.backAfter = 600*time.Millisecond, 3*time.Second }},
 	"cancels":          {states: 4, entries: 4, runners: 24, rules: []string{"UNASKED", "TWICE", "REFUSED", "MIXED"}, play: playCancels},
 	"stray":            {states: 3, entries: 2, runners: 24, rules: []string{"TWICE"}, play: playStray},
+	"term":             {states: 3, entries: 3, runners: 24, rules: []string{"LOST"}, play: playTerm},
 	"restarts":         {states: 4, entries: 4, runners: 16, rules: []string{"TWICE", "ORDER", "ROUTE", "UNASKED", "REFUSED", "MIXED", "LIMIT", "Own ends"}, play: playRestarts},
 	"pairs": {states: 4, entries: 4, runners: 16, rules: []string{"TWICE", "ORDER", "ROUTE", "UNASKED", "REFUSED", "MIXED", "LIMIT", "Own ends"}, play: playPairs,
 		prepare: func(w *world) { w.guards = rand.IntN(2) == 0 }},
